Fewer messages between VMs: patience, groups that fit, slower far heartbeats

Change: Took only for what was not taken; the better of two random peers; a peer needs room of 8; routine work that the own slots start within the document's patience stays; heartbeats between failure domains every 300 ms. Counters are read over the measured span only (probes of the idle end had counted before).

--- a/internal/conf/doc/check.go
+++ b/internal/conf/doc/check.go
@@ -28,6 +28,7 @@
 	d.checkTenants(c)
 	d.checkLimits(c)
 	c.need(d.Reserve >= 0 && d.Reserve <= 0.5, "reserve", fmt.Sprintf("%v is out of range", d.Reserve), "use a part from 0 to 0.5")
+	c.need(d.Patience >= 0 && d.Patience.Std() <= 10*time.Second, "patience", d.Patience.Std().String(), "use 0s to 10s; 200ms is usual")
 	for i, name := range d.Endpoints.Domains {
 		c.need(validName(name), fmt.Sprintf("endpoints.domains[%d]", i), fmt.Sprintf("%q is no name", name), "use a failure domain's name")
 	}
--- a/internal/conf/doc/doc.go
+++ b/internal/conf/doc/doc.go
@@ -42,6 +42,9 @@
 	Endpoints Endpoints         `json:"endpoints"`
 	Limits    Limits            `json:"limits"`
 	Reserve   float64           `json:"reserve"` // part of the slots kept for urgent work
+	// Patience is how long routine work may wait in its failure domain rather than
+	// cost messages to others; bulk work waits longer, urgent work not at all.
+	Patience Span `json:"patience"`
 }
 
 // Class is a way to treat jobs.
--- a/internal/mesh/view/view.go
+++ b/internal/mesh/view/view.go
@@ -13,14 +13,17 @@
 
 // Times of the view.
 const (
-	// Period is the time between heartbeats.
+	// Period is the time between heartbeats inside a failure domain.
 	Period = 100 * time.Millisecond
+	// Far is how many times longer heartbeats and patience are between failure
+	// domains: there are many more such pairs, and none shares slots.
+	Far = 3
 	// suspectAfter is the silence after which a member gets no more work.
-	suspectAfter = 500 * time.Millisecond
+	suspectAfter = 5 * Period
 	// goneAfter is the silence after which it is gone if a witness agrees.
-	goneAfter = time.Second
+	goneAfter = 10 * Period
 	// aloneAfter is the silence after which it is gone without any witness.
-	aloneAfter = 3 * time.Second
+	aloneAfter = 30 * Period
 	// skewDrift lets the least skew follow clocks that drift, per beat.
 	skewDrift = 100 * time.Microsecond
 )
@@ -174,7 +177,7 @@
 }
 
 func (v *View) judge(now time.Time, m *Member) State {
-	silence := now.Sub(m.Heard)
+	silence := v.silence(now, m)
 	switch {
 	case silence < suspectAfter:
 		return Alive
@@ -183,7 +186,7 @@
 	}
 	others := 0
 	for _, w := range v.all {
-		if w.VM == m.VM || w.State != Alive || now.Sub(w.Heard) >= suspectAfter {
+		if w.VM == m.VM || w.State != Alive || v.silence(now, w) >= suspectAfter {
 			continue
 		}
 		others++
@@ -197,6 +200,15 @@
 	return Suspect
 }
 
+// silence of a member, by the measure of the own failure domain.
+func (v *View) silence(now time.Time, m *Member) time.Duration {
+	d := now.Sub(m.Heard)
+	if m.Domain != v.domain {
+		d /= Far
+	}
+	return d
+}
+
 // Resume forgives the silence that a pause of this VM made; without it a VM that
 // wakes up would declare all its peers gone.
 func (v *View) Resume(now time.Time) {
@@ -213,7 +225,7 @@
 // Doubts lists the members that this VM doesn't hear.
 func (v *View) Doubts(now time.Time) (vms []netip.AddrPort) {
 	for _, m := range v.Members() {
-		if (m.State == Alive || m.State == Suspect) && now.Sub(m.Heard) >= suspectAfter {
+		if (m.State == Alive || m.State == Suspect) && v.silence(now, m) >= suspectAfter {
 			vms = append(vms, m.VM)
 		}
 	}
--- a/internal/task/flow/node.go
+++ b/internal/task/flow/node.go
@@ -12,7 +12,6 @@
 
 	"dahliawinch/internal/conf/doc"
 	"dahliawinch/internal/conf/fold"
-	"dahliawinch/internal/mesh/frame"
 	"dahliawinch/internal/mesh/view"
 	"dahliawinch/internal/plat/roster"
 	"dahliawinch/internal/task/budget"
@@ -61,6 +60,7 @@
 	budget *budget.Budget
 	queues [job.Bands]*queue.Queue[*work]
 
+	beats    int // only the timer's thread counts
 	serial   atomic.Uint64
 	bytes    atomic.Int64 // of submissions in the house
 	active   atomic.Int64 // submissions in the house
@@ -72,7 +72,6 @@
 
 	spillMu sync.Mutex
 	groups  map[uint64]*group
-	asked   map[netip.AddrPort]uint64 // the group that a peer has not answered yet
 
 	callMu sync.Mutex
 	calls  map[uint64]*call
@@ -101,8 +100,8 @@
 		book: ticket.NewBook(cfg.Self, cfg.Inc, cfg.Secret, ticket.Limits{
 			Term: cfg.Term, Uses: cfg.Tickets, Bytes: cfg.Memory / 4,
 		}),
-		groups: map[uint64]*group{}, asked: map[netip.AddrPort]uint64{},
-		calls: map[uint64]*call{}, live: map[uint64]*use{},
+		groups: map[uint64]*group{},
+		calls:  map[uint64]*call{}, live: map[uint64]*use{},
 		gone: map[netip.AddrPort]word{},
 	}
 	n.ctx, n.cancel = context.WithCancel(ctx)
@@ -233,54 +232,6 @@
 	}
 }
 
-// beat sends heartbeats, looks at silences and lets time-bound limits change.
-func (n *Node) beat() {
-	now := n.now()
-	for _, c := range n.view.Tick(now) {
-		n.changed(c)
-	}
-	n.limits(now)
-	b := n.pulse(now)
-	for _, m := range n.view.Members() {
-		if n.parts.Mesh.Cast(m.VM, b) == nil {
-			n.parts.Meter.Waste(meterGossip, 1)
-		}
-	}
-	n.pump()
-}
-
-func (n *Node) pulse(now time.Time) *frame.Beat {
-	b := &frame.Beat{
-		At: now, Room: n.room(now), Queued: n.Waiting(), Wait: n.wait(job.Routine, now),
-		Leaving: n.draining.Load(), Doubts: n.view.Doubts(now), Out: n.health.Out(),
-	}
-	n.listMu.Lock()
-	for a, w := range n.gone {
-		if w.first {
-			b.Gone = append(b.Gone, a)
-		}
-	}
-	n.listMu.Unlock()
-	if c := n.conf.Load(); c != nil {
-		b.Rev, b.Asof = c.rev.Rev, c.rev.Asof
-	}
-	return b
-}
-
-// room is how many tasks peers may give this VM now. While own non-urgent work
-// waits there is none for theirs, but still the reserve for their urgent work.
-func (n *Node) room(now time.Time) (r frame.Room) {
-	if n.draining.Load() || n.queues[job.Urgent].Tasks() > 0 {
-		return r
-	}
-	limit, free := n.table.Slots(now)
-	r.Urgent = max(0, free)
-	if n.Waiting() == 0 {
-		r.Free = max(0, free-n.keep(job.Routine, limit))
-	}
-	return r
-}
-
 // probe asks endpoints that have said nothing for a while whether they leave or
 // are there at all, so that no caller's task has to find out.
 func (n *Node) probe() {
--- a/internal/task/flow/spill.go
+++ b/internal/task/flow/spill.go
@@ -1,9 +1,8 @@
 package flow
 
 import (
-	"cmp"
+	"math/rand/v2"
 	"net/netip"
-	"slices"
 	"time"
 
 	"dahliawinch/internal/mesh/frame"
@@ -15,6 +14,9 @@
 const (
 	// mostGiven bounds the tasks of one group.
 	mostGiven = 256
+	// leastRoom is the room below which a peer is not worth a message, unless less
+	// would do.
+	leastRoom = 8
 	// staleGive is the age at which a group is not started any more: its giver has
 	// very likely answered its callers.
 	staleGive = time.Second
@@ -39,6 +41,9 @@
 	sent time.Time
 }
 
+// bulkPatience is how much longer bulk work waits before it costs messages.
+const bulkPatience = 5
+
 // spill gives waiting tasks to peers that have slots free, the own failure
 // domain's first. One hop only: what comes from a peer never waits in a queue,
 // so it can't be given on.
@@ -47,14 +52,40 @@
 		return
 	}
 	defer n.spillMu.Unlock()
-	for n.Waiting() > 0 {
-		m := n.roomiest()
-		if m == nil || !n.give(m, now) {
+	for {
+		most := n.surplus(now)
+		if most == 0 {
+			return
+		}
+		m := n.pick(most)
+		if m == nil || !n.give(m, now, most) {
 			return
 		}
 	}
 }
 
+// surplus is how many waiting tasks the own slots will not start soon. Work that
+// starts here within the patience is not worth the messages.
+func (n *Node) surplus(now time.Time) int {
+	if k := n.queues[job.Urgent].Tasks(); k > 0 {
+		return k
+	}
+	routine, bulk := n.queues[job.Routine], n.queues[job.Bulk]
+	waiting := routine.Tasks() + bulk.Tasks()
+	c := n.conf.Load()
+	if waiting == 0 || c == nil {
+		return 0
+	}
+	patience := c.doc.Patience.Std()
+	if routine.Tasks() == 0 {
+		patience *= bulkPatience
+	}
+	limit, _ := n.table.Slots(now)
+	mean := (routine.Backlog() + bulk.Backlog()) / time.Duration(waiting)
+	soon := float64(limit) * patience.Seconds() / max(mean.Seconds(), 0.001)
+	return max(0, waiting-int(soon))
+}
+
 // roomFor is what a member would start of the most pressing waiting work.
 func (n *Node) roomFor(m *view.Member) int {
 	if n.queues[job.Urgent].Tasks() > 0 {
@@ -63,35 +94,39 @@
 	return m.Beat.Room.Free
 }
 
-// roomiest picks the peer to give to: of the own failure domain if it has room,
-// else the one with the most room. The caller holds spillMu.
-func (n *Node) roomiest() *view.Member {
-	var open []*view.Member
+// pick chooses the peer to give to, of the own failure domain if one has room.
+func (n *Node) pick(most int) *view.Member {
+	var near, far []*view.Member
 	for _, m := range n.view.Members() {
-		if _, busy := n.asked[m.VM]; !busy && m.Usable() && n.roomFor(m) > 0 {
-			open = append(open, m)
+		switch {
+		case !m.Usable() || n.roomFor(m) < min(most, leastRoom):
+		case m.Domain == n.cfg.Domain:
+			near = append(near, m)
+		default:
+			far = append(far, m)
 		}
 	}
-	if len(open) == 0 {
-		return nil
+	if len(near) > 0 {
+		return n.better(near, most)
 	}
-	return slices.MaxFunc(open, func(a, b *view.Member) int {
-		return cmp.Or(
-			cmp.Compare(one(a.Domain == n.cfg.Domain), one(b.Domain == n.cfg.Domain)),
-			cmp.Compare(n.roomFor(a), n.roomFor(b)),
-		)
-	})
+	return n.better(far, most)
 }
 
-func one(b bool) int {
-	if b {
-		return 1
+// better picks the better of two random members: givers that all picked the best
+// would meet there.
+func (n *Node) better(open []*view.Member, most int) *view.Member {
+	if len(open) == 0 {
+		return nil
+	}
+	a, b := open[rand.IntN(len(open))], open[rand.IntN(len(open))]
+	if min(n.roomFor(b), most) > min(n.roomFor(a), most) {
+		return b
 	}
-	return 0
+	return a
 }
 
 // give sends one group to a peer; the caller holds spillMu.
-func (n *Node) give(m *view.Member, now time.Time) bool {
+func (n *Node) give(m *view.Member, now time.Time, most int) bool {
 	g := &group{id: n.serial.Add(1), peer: m.VM, inc: m.Inc}
 	msg := &frame.Give{Group: g.id, At: now}
 	for b := range n.queues {
@@ -99,7 +134,7 @@
 		if job.Band(b) == job.Urgent {
 			room = m.Beat.Room.Urgent
 		}
-		for len(g.tasks) < min(room, mostGiven) {
+		for len(g.tasks) < min(room, most, mostGiven) {
 			e, i, ok := n.next(n.queues[b], now)
 			if !ok {
 				break
@@ -119,7 +154,6 @@
 	}
 	g.open = len(g.tasks)
 	n.groups[g.id] = g
-	n.asked[m.VM] = g.id
 	n.view.Load(m.VM, m.Beat.Room.Less(len(g.tasks)))
 	if err := n.parts.Mesh.Cast(m.VM, msg); err != nil {
 		n.view.Load(m.VM, frame.Room{})
@@ -134,9 +168,6 @@
 // close forgets a group; the caller holds spillMu.
 func (n *Node) close(g *group) {
 	delete(n.groups, g.id)
-	if n.asked[g.peer] == g.id {
-		delete(n.asked, g.peer)
-	}
 }
 
 // putBack queues the tasks from an index on again: they did not start.
@@ -178,7 +209,9 @@
 	if m := n.view.Find(from.VM); m == nil || m.Inc != from.Inc || m.Age(now, g.At) < staleGive {
 		took = n.takeIn(from, g, now)
 	}
-	n.reply(from.VM, &frame.Took{Group: g.Group, N: took, Room: n.room(n.now())})
+	if took < len(g.Tasks) { // silence means that all were taken
+		n.reply(from.VM, &frame.Took{Group: g.Group, N: took, Room: n.room(n.now())})
+	}
 }
 
 func (n *Node) takeIn(from frame.Hello, g *frame.Give, now time.Time) (took int) {
@@ -255,7 +288,6 @@
 	g := n.groups[t.Group]
 	if g != nil && g.peer == from.VM && !g.took {
 		g.took = true
-		delete(n.asked, from.VM)
 		n.putBack(g, min(max(t.N, 0), len(g.tasks)))
 		if g.open == 0 {
 			n.close(g)
--- a/internal/tool/mix/mix.go
+++ b/internal/tool/mix/mix.go
@@ -74,7 +74,7 @@
 			"imprint": {Weight: 1, Keys: []string{doc.Hash("demo-imprint")}},
 		},
 		Limits:  doc.Limits{Tasks: doc.MostTasks, Bytes: 4 << 20, Deadline: doc.Span(2 * time.Minute)},
-		Reserve: 0.08,
+		Reserve: 0.08, Patience: doc.Span(200 * time.Millisecond),
 	}
 }
 
--- a/internal/tool/scene/scene.go
+++ b/internal/tool/scene/scene.go
@@ -81,6 +81,7 @@
 	endpoints map[netip.AddrPort]*fakes.Endpoint
 	order     []netip.AddrPort
 	meters    []*meter.Meter
+	marks     [2]counts // at the start and the end of the measured span
 	results   []Result
 	trace     []Arrival
 	serial    atomic.Uint64
@@ -124,6 +125,14 @@
 			f.Do(s)
 		}()
 	}
+	s.wg.Add(1)
+	go func() {
+		defer s.wg.Done()
+		time.Sleep(s.Warm)
+		s.marks[0] = s.count()
+		time.Sleep(s.Span)
+		s.marks[1] = s.count()
+	}()
 	s.load()
 	s.finish()
 	return s
@@ -385,21 +394,30 @@
 // Trace is every arrival.
 func (s *Scene) Trace() []Arrival { return s.trace }
 
-// Wasted sums the wasted messages of a cause over all VMs.
-func (s *Scene) Wasted(c meter.Cause) (n int64) {
-	for _, m := range s.meters {
-		n += m.Wasted(c)
-	}
-	return n
+// counts are sums over all VMs.
+type counts struct {
+	starts int64
+	wasted map[meter.Cause]int64
 }
 
-// Starts sums the attempts of all VMs.
-func (s *Scene) Starts() (n int64) {
+func (s *Scene) count() counts {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := counts{wasted: map[meter.Cause]int64{}}
 	for _, m := range s.meters {
-		n += m.Starts()
+		c.starts += m.Starts()
+		for _, cause := range meter.Causes() {
+			c.wasted[cause] += m.Wasted(cause)
+		}
 	}
-	return n
+	return c
 }
 
+// Wasted is the number of wasted messages of a cause in the measured span.
+func (s *Scene) Wasted(c meter.Cause) int64 { return s.marks[1].wasted[c] - s.marks[0].wasted[c] }
+
+// Starts is the number of attempts in the measured span.
+func (s *Scene) Starts() int64 { return s.marks[1].starts - s.marks[0].starts }
+
 // rand is a source of its own for a fault, which plays beside the load.
 func (s *Scene) rand() *rand.Rand { return rand.New(rand.NewPCG(s.Seed, s.serial.Add(1))) }
