Try: lend slots inside a failure domain by heartbeats

Change: heartbeats restate loans both ways; a VM with waiting work uses its peer's idle slots directly. Early heartbeats when slots should change hands.

--- a/internal/task/flow/try.go
+++ b/internal/task/flow/try.go
@@ -70,6 +70,9 @@
 	}
 	t.report(now, r)
 	n.pump()
+	if t.ep.Lender().IsValid() && n.Waiting() == 0 {
+		n.hurry(now) // the lender may have work for the slot
+	}
 }
 
 // begin is the last look before the send. A VM that was paused since it decided
@@ -111,7 +114,12 @@
 		}
 		rep.End = health.Unreachable
 	}
-	t.ep.SetLimit(n.health.Note(now, rep))
+	limit := n.health.Note(now, rep)
+	if !t.ep.Lender().IsValid() {
+		t.ep.SetLimit(limit)
+	} else if r.Ending != Ran {
+		t.ep.SetLimit(0) // until the lender states it again
+	}
 	if r.Ending == Ran || r.Ending == RanBadly {
 		t.ep.Hear(now)
 	}
