--- a/internal/mesh/frame/msg.go
+++ b/internal/mesh/frame/msg.go
@@ -48,8 +48,6 @@
 	Rev     uint64           `msgpack:"r"`           // revision in force here
 	Asof    int64            `msgpack:"a"`
 	Use     map[string]Use   `msgpack:"u,omitempty"` // tenants with quotas
-	Lent    []Loan           `msgpack:"b,omitempty"` // slots lent to the receiver, all of them
-	Held    []Loan           `msgpack:"h,omitempty"` // of the receiver's slots, those in use
 }
 
 // Room is how many tasks a VM could start now if it were given them.
@@ -64,13 +62,6 @@
 	return Room{Free: max(0, r.Free-n), Urgent: max(0, r.Urgent-n)}
 }
 
-// Loan is a number of slots on one endpoint.
-type Loan struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // the codec reads this tag
-	Addr     netip.AddrPort
-	N        int
-}
-
 // Use is what a tenant asks for and holds at one VM.
 type Use struct {
 	Rate  float64 `msgpack:"r"` // task starts per second wanted
--- a/internal/task/flow/beat.go
+++ b/internal/task/flow/beat.go
@@ -6,13 +6,8 @@
 	"dahliawinch/internal/mesh/frame"
 	"dahliawinch/internal/mesh/view"
 	"dahliawinch/internal/task/job"
-	"dahliawinch/internal/task/place"
 )
 
-// hurryAfter is the least time between heartbeats inside a failure domain when
-// slots change hands.
-const hurryAfter = 10 * time.Millisecond
-
 // beat sends heartbeats, looks at silences and lets time-bound limits change.
 func (n *Node) beat() {
 	now := n.now()
@@ -20,50 +15,16 @@
 		n.changed(c)
 	}
 	n.limits(now)
-	n.hurried.Store(now.UnixNano())
 	b := n.pulse(now)
 	n.beats++
 	for i, m := range n.view.Members() {
-		switch {
-		case m.Domain == n.cfg.Domain:
-			n.tell(m, b, now)
-		case (n.beats+i)%view.Far == 0 || b.Leaving:
+		if m.Domain == n.cfg.Domain || (n.beats+i)%view.Far == 0 || b.Leaving {
 			n.cast(m, b)
 		}
 	}
 	n.pump()
 }
 
-// hurry sends the failure domain a heartbeat ahead of time, because slots should
-// change hands: waiting for the next would leave them idle beside waiting work.
-func (n *Node) hurry(now time.Time) {
-	last := n.hurried.Load()
-	if n.cfg.Policy != place.Homes || now.UnixNano()-last < int64(hurryAfter) {
-		return
-	}
-	if !n.hurried.CompareAndSwap(last, now.UnixNano()) {
-		return
-	}
-	b := n.pulse(now)
-	for _, m := range n.view.Members() {
-		if m.Domain == n.cfg.Domain && m.Usable() {
-			n.tell(m, b, now)
-		}
-	}
-}
-
-// tell sends a peer of the own failure domain a heartbeat with its loans.
-func (n *Node) tell(m *view.Member, b *frame.Beat, now time.Time) {
-	if n.cfg.Policy != place.Homes {
-		n.cast(m, b)
-		return
-	}
-	own := *b
-	own.Lent, own.Held = n.lend(m, now), n.held(m.VM)
-	own.Room = n.room(now)
-	n.cast(m, &own)
-}
-
 func (n *Node) cast(m *view.Member, b *frame.Beat) {
 	if n.parts.Mesh.Cast(m.VM, b) == nil {
 		n.parts.Meter.Waste(meterGossip, 1)
--- a/internal/task/flow/node.go
+++ b/internal/task/flow/node.go
@@ -60,8 +60,7 @@
 	budget *budget.Budget
 	queues [job.Bands]*queue.Queue[*work]
 
-	beats    int          // only the timer's thread counts
-	hurried  atomic.Int64 // when the failure domain was last sent a heartbeat
+	beats    int // only the timer's thread counts
 	serial   atomic.Uint64
 	bytes    atomic.Int64 // of submissions in the house
 	active   atomic.Int64 // submissions in the house
@@ -74,9 +73,6 @@
 	spillMu sync.Mutex
 	groups  map[uint64]*group
 
-	loanMu sync.Mutex
-	loans  map[netip.AddrPort]*loans
-
 	callMu sync.Mutex
 	calls  map[uint64]*call
 
@@ -105,7 +101,7 @@
 			Term: cfg.Term, Uses: cfg.Tickets, Bytes: cfg.Memory / 4,
 		}),
 		groups: map[uint64]*group{},
-		calls:  map[uint64]*call{}, loans: map[netip.AddrPort]*loans{}, live: map[uint64]*use{},
+		calls:  map[uint64]*call{}, live: map[uint64]*use{},
 		gone: map[netip.AddrPort]word{},
 	}
 	n.ctx, n.cancel = context.WithCancel(ctx)
--- a/internal/task/flow/pump.go
+++ b/internal/task/flow/pump.go
@@ -19,9 +19,6 @@
 		n.pumpBand(job.Band(b), now)
 	}
 	if n.cfg.Spill {
-		if n.Waiting() > 0 && n.lendable() > 0 {
-			n.hurry(now)
-		}
 		n.spill(now)
 	}
 }
--- a/internal/task/flow/receive.go
+++ b/internal/task/flow/receive.go
@@ -47,10 +47,6 @@
 	for _, a := range b.Out {
 		n.health.Hear(now, a)
 	}
-	if from.Domain == n.cfg.Domain {
-		n.settleLoans(from.VM, b, now)
-		n.trade(from.VM, b, now)
-	}
 	n.compare(from.VM, b)
 	if b.Room.Urgent > 0 && n.Waiting() > 0 {
 		n.pump()
@@ -63,9 +59,6 @@
 	if c.State == view.Gone {
 		n.forsake(c.VM, c.Inc)
 	}
-	if c.State != view.Alive || c.Reborn {
-		n.endLoans(c.VM)
-	}
 	n.rehome()
 	n.pump()
 }
--- a/internal/task/flow/spill.go
+++ b/internal/task/flow/spill.go
@@ -9,7 +9,6 @@
 	"dahliawinch/internal/mesh/view"
 	"dahliawinch/internal/task/job"
 	"dahliawinch/internal/task/learn"
-	"dahliawinch/internal/task/place"
 )
 
 const (
@@ -84,20 +83,7 @@
 	limit, _ := n.table.Slots(now)
 	mean := (routine.Backlog() + bulk.Backlog()) / time.Duration(waiting)
 	soon := float64(limit) * patience.Seconds() / max(mean.Seconds(), 0.001)
-	return max(0, waiting-int(soon)-n.lendable())
-}
-
-// lendable is what peers of the failure domain will lend with their next beat.
-func (n *Node) lendable() (k int) {
-	if n.cfg.Policy != place.Homes {
-		return 0
-	}
-	for _, m := range n.view.Members() {
-		if m.Domain == n.cfg.Domain && m.Usable() {
-			k += m.Beat.Room.Free
-		}
-	}
-	return k
+	return max(0, waiting-int(soon))
 }
 
 // roomFor is what a member would start of the most pressing waiting work.
@@ -114,8 +100,6 @@
 	for _, m := range n.view.Members() {
 		switch {
 		case !m.Usable() || n.roomFor(m) < min(most, leastRoom):
-		case m.Domain == n.cfg.Domain && n.cfg.Policy == place.Homes && n.queues[job.Urgent].Tasks() == 0:
-			// lends its slots instead
 		case m.Domain == n.cfg.Domain:
 			near = append(near, m)
 		default:
--- a/internal/task/flow/try.go
+++ b/internal/task/flow/try.go
@@ -70,9 +70,6 @@
 	}
 	t.report(now, r)
 	n.pump()
-	if t.ep.Lender().IsValid() && n.Waiting() == 0 {
-		n.hurry(now) // the lender may have work for the slot
-	}
 }
 
 // begin is the last look before the send. A VM that was paused since it decided
@@ -114,12 +111,7 @@
 		}
 		rep.End = health.Unreachable
 	}
-	limit := n.health.Note(now, rep)
-	if !t.ep.Lender().IsValid() {
-		t.ep.SetLimit(limit)
-	} else if r.Ending != Ran {
-		t.ep.SetLimit(0) // until the lender states it again
-	}
+	t.ep.SetLimit(n.health.Note(now, rep))
 	if r.Ending == Ran || r.Ending == RanBadly {
 		t.ep.Hear(now)
 	}
--- a/internal/task/place/endpoint.go
+++ b/internal/task/place/endpoint.go
@@ -23,14 +23,11 @@
 type Endpoint struct {
 	Info
 	busy  atomic.Int32
-	lent  atomic.Int32 // slots that a peer may use
 	limit atomic.Int32 // slots that its health allows now
 	slow  atomic.Int32 // percent of the usual run time
 	shun  atomic.Int64 // full as of its own refusal, until this time
 	leave atomic.Bool
-
-	lender netip.AddrPort // the VM that keeps the slots, if this one doesn't
-	heard  atomic.Int64   // when it last answered
+	heard atomic.Int64 // when it last answered
 }
 
 // NewEndpoint returns a healthy, idle endpoint.
@@ -79,17 +76,14 @@
 	if e.leave.Load() || now.UnixNano() < e.shun.Load() {
 		return 0
 	}
-	return max(0, int(e.limit.Load()-e.busy.Load()-e.lent.Load()))
+	return max(0, int(e.limit.Load()-e.busy.Load()))
 }
 
-// Lend sets how many slots peers may use; they don't count as free here.
-func (e *Endpoint) Lend(n int) { e.lent.Store(int32(n)) }
-
 // take claims one slot and fails when another thread was faster.
 func (e *Endpoint) take() bool {
 	for {
 		n := e.busy.Load()
-		if n+e.lent.Load() >= e.limit.Load() || e.leave.Load() {
+		if n >= e.limit.Load() || e.leave.Load() {
 			return false
 		}
 		if e.busy.CompareAndSwap(n, n+1) {
@@ -98,8 +92,5 @@
 	}
 }
 
-// Lender is the VM that lent the slots; invalid for own ones.
-func (e *Endpoint) Lender() netip.AddrPort { return e.lender }
-
 // Release gives the slot back.
 func (e *Endpoint) Release() { e.busy.Add(-1) }
--- a/internal/task/place/table.go
+++ b/internal/task/place/table.go
@@ -19,11 +19,9 @@
 }
 
 type snapshot struct {
-	all      map[netip.AddrPort]*Endpoint
-	mine     []*Endpoint // whose slots this VM keeps
-	borrowed []*Endpoint // slots that peers lent
-	usable   []*Endpoint // both
-	most     job.Size    // the most that any endpoint has, anywhere
+	all  map[netip.AddrPort]*Endpoint
+	mine []*Endpoint
+	most job.Size // the most that any endpoint has, anywhere
 }
 
 // NewTable returns an empty table.
@@ -39,7 +37,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	old := t.snap.Load()
-	next := &snapshot{all: make(map[netip.AddrPort]*Endpoint, len(list)), borrowed: old.borrowed}
+	next := &snapshot{all: make(map[netip.AddrPort]*Endpoint, len(list))}
 	for _, in := range list {
 		e := old.all[in.Addr]
 		if e == nil || e.Info != in {
@@ -55,49 +53,9 @@
 			next.mine = append(next.mine, e)
 		}
 	}
-	t.publish(next)
-}
-
-func (t *Table) publish(next *snapshot) {
-	next.usable = append(append([]*Endpoint{}, next.mine...), next.borrowed...)
 	t.snap.Store(next)
 }
 
-// Borrow restates how many slots on each endpoint one lender lets this VM use;
-// what it no longer names takes no new work.
-func (t *Table) Borrow(lender netip.AddrPort, slots map[netip.AddrPort]int) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	old := t.snap.Load()
-	next := &snapshot{all: old.all, mine: old.mine, most: old.most}
-	for _, e := range old.borrowed {
-		if e.lender != lender {
-			next.borrowed = append(next.borrowed, e)
-			continue
-		}
-		n, ok := slots[e.Addr]
-		delete(slots, e.Addr)
-		e.SetLimit(n)
-		if ok || e.Busy() > 0 {
-			next.borrowed = append(next.borrowed, e)
-		}
-	}
-	for a, n := range slots {
-		known := old.all[a]
-		if known == nil || known.Leaving() || n <= 0 {
-			continue
-		}
-		e := NewEndpoint(known.Info)
-		e.lender = lender
-		e.SetLimit(n)
-		next.borrowed = append(next.borrowed, e)
-	}
-	t.publish(next)
-}
-
-// Borrowed returns the endpoints with slots from peers, each with its lender.
-func (t *Table) Borrowed() []*Endpoint { return t.snap.Load().borrowed }
-
 // Find returns an endpoint by address, or nil.
 func (t *Table) Find(a netip.AddrPort) *Endpoint { return t.snap.Load().all[a] }
 
@@ -112,7 +70,7 @@
 
 // Slots returns the slots this VM may use by health, and how many are free.
 func (t *Table) Slots(now time.Time) (limit, free int) {
-	for _, e := range t.snap.Load().usable {
+	for _, e := range t.snap.Load().mine {
 		if e.Leaving() {
 			continue
 		}
@@ -130,7 +88,7 @@
 	for range 4 { // another thread may take the slot first
 		list = list[:0]
 		total := 0
-		for _, e := range t.snap.Load().usable {
+		for _, e := range t.snap.Load().mine {
 			n := e.Free(now)
 			total += n
 			if n > 0 && need.Fits(e.Size) {
