Rolling replacement cuts nothing: drain reports, members that left, ramp-up

Three causes, found by following the lost job: (1) a draining VM counted an attempt as ended before its result was on its way, so the process could end first; (2) a member that left was never taken for gone, so tasks given to it were awaited until their deadline; (3) a VM that takes over endpoints sent one task to each slot where the former home's tasks still ran; the refusals spent the retry budget and parked tasks starved.

Change: (1) the count falls after the report, and the daemon flushes its links; (2) a member that left is gone after a second of silence; (3) endpoints that are new to a VM start with one slot and gain one every 50 ms, and a refusal means full rather than "shun for 20 ms".

Ruled out: a larger retry budget (the refusals would still be sent).

--- a/internal/edge/entry/daemon.go
+++ b/internal/edge/entry/daemon.go
@@ -146,6 +146,11 @@
 	if err := d.node.Drain(ctx); err != nil {
 		d.log.Warn("drain", "err", err)
 	}
+	ctx, cancel := context.WithTimeout(ctx, closeWait)
+	defer cancel()
+	if err := d.hub.Flush(ctx); err != nil {
+		d.log.Warn("drain", "err", err)
+	}
 }
 
 func (d *Daemon) close() {
--- a/internal/mesh/link/hub.go
+++ b/internal/mesh/link/hub.go
@@ -135,6 +135,27 @@
 	return s.add(data, m)
 }
 
+// Flush waits until the peers that have a connection have read what was cast to
+// them, so that a process that ends takes no result with it.
+func (h *Hub) Flush(ctx context.Context) error {
+	for {
+		h.mu.Lock()
+		kept := 0
+		for _, s := range h.out {
+			kept += s.unread()
+		}
+		h.mu.Unlock()
+		if kept == 0 {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("flush %d messages: %w", kept, ctx.Err())
+		case <-time.After(ackEvery / 4):
+		}
+	}
+}
+
 // Forget drops the sender of a VM that is no member any more.
 func (h *Hub) Forget(vm netip.AddrPort) {
 	h.mu.Lock()
--- a/internal/mesh/link/sender.go
+++ b/internal/mesh/link/sender.go
@@ -205,6 +205,16 @@
 	}
 }
 
+// unread counts what a connected peer has not read yet.
+func (s *sender) unread() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.online {
+		return 0
+	}
+	return len(s.kept)
+}
+
 // batch takes what can be written now.
 func (s *sender) batch() (buf []byte) {
 	s.mu.Lock()
--- a/internal/mesh/view/view.go
+++ b/internal/mesh/view/view.go
@@ -158,7 +158,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	for vm, m := range v.all {
-		if m.State != Alive && m.State != Suspect {
+		if m.State == Listed || m.State == Gone {
 			continue
 		}
 		next := v.judge(now, m)
@@ -178,6 +178,12 @@
 
 func (v *View) judge(now time.Time, m *Member) State {
 	silence := v.silence(now, m)
+	if m.State == Left { // it said so, which is witness enough
+		if silence >= goneAfter {
+			return Gone
+		}
+		return Left
+	}
 	switch {
 	case silence < suspectAfter:
 		return Alive
--- a/internal/mesh/view/view_test.go
+++ b/internal/mesh/view/view_test.go
@@ -64,6 +64,18 @@
 	is.Equal(v.Find(vm(1)).Beat.Room.Free, 3)
 }
 
+// Symptom: work given to a VM that left is awaited until its deadline. Sequence: it
+// leaves, and its last results are lost with its last connection. Cause: a member
+// that left is never taken for gone.
+func TestLeftMemberIsGoneOnceSilent(t *testing.T) {
+	is := is.New(t)
+	v := New(vm(0), "a", began)
+	hear(v, began, 1, 1, frame.Beat{Leaving: true})
+	is.Equal(len(v.Tick(began.Add(suspectAfter))), 0)
+	is.Equal(len(v.Tick(began.Add(goneAfter))), 1)
+	is.Equal(v.Find(vm(1)).State, Gone)
+}
+
 func TestPauseOfThisVMBlamesNobody(t *testing.T) {
 	is := is.New(t)
 	v := New(vm(0), "a", began)
--- a/internal/task/flow/node.go
+++ b/internal/task/flow/node.go
@@ -24,8 +24,8 @@
 )
 
 const (
-	// shunFor is how long an endpoint that refused counts as full.
-	shunFor = 20 * time.Millisecond
+	// lookAgain is how soon after a refusal waiting work is looked at again.
+	lookAgain = 50 * time.Millisecond
 	// goneFor is how long the word that an endpoint leaves is believed and passed
 	// on; the platform's list lags by less.
 	goneFor = 90 * time.Second
@@ -164,7 +164,7 @@
 	vms := n.view.Domain(now, n.draining.Load())
 	infos := n.serving(c, now)
 	slots := map[netip.AddrPort]int{}
-	n.table.Update(infos, func(in place.Info) bool {
+	n.table.Update(now, infos, func(in place.Info) bool {
 		if in.Domain != n.cfg.Domain {
 			return false
 		}
--- a/internal/task/flow/try.go
+++ b/internal/task/flow/try.go
@@ -55,13 +55,13 @@
 
 func (t *try) run() {
 	n := t.n
+	defer n.running.Add(-1) // last: a drain must not end before the report is on its way
 	r := n.parts.Runner.Run(n.ctx, t.ep.Addr, Exchange{
 		Attempt: n.name(), Body: t.task.Body, Until: t.due, Begin: t.begin,
 	})
 	now := n.now()
 	t.judge(now, r)
 	t.ep.Release()
-	n.running.Add(-1)
 	if t.band == job.Urgent {
 		n.urgent.Add(-1)
 	}
@@ -102,8 +102,8 @@
 	case Lost:
 		rep.End = health.Silent
 	case Refused:
-		t.ep.Shun(now.Add(shunFor))
-		n.parts.Timers.After(shunFor, n.pump)
+		t.ep.Full(now)
+		n.parts.Timers.After(lookAgain, n.pump)
 		return
 	case Unsent:
 		if r.Err == nil {
--- a/internal/task/place/endpoint.go
+++ b/internal/task/place/endpoint.go
@@ -25,7 +25,8 @@
 	busy  atomic.Int32
 	limit atomic.Int32 // slots that its health allows now
 	slow  atomic.Int32 // percent of the usual run time
-	shun  atomic.Int64 // full as of its own refusal, until this time
+	room  atomic.Int32 // slots thought to be open to this VM at since
+	since atomic.Int64
 	leave atomic.Bool
 	heard atomic.Int64 // when it last answered
 }
@@ -68,22 +69,49 @@
 	return now.UnixNano()-e.heard.Load() >= int64(d)
 }
 
-// Shun treats the endpoint as full until the given time.
-func (e *Endpoint) Shun(until time.Time) { e.shun.Store(until.UnixNano()) }
+// regrow is the time in which one more slot is thought to come free on an endpoint
+// that others use too: about a task's run time over the slots.
+const regrow = 50 * time.Millisecond
+
+// Full takes in that the endpoint had no slot for one more task.
+//
+// What goes wrong without it: a VM takes over the endpoints of one that went and
+// does not know the tasks that still run there. It sends one to each slot, all are
+// refused, the retry budget is spent and tasks wait for it past their deadlines.
+// One notices refusals right after a change of members. The endpoint counts as
+// having just the slots that this VM uses, and one more every regrow.
+func (e *Endpoint) Full(now time.Time) { e.open(now, max(0, e.busy.Load()-1)) }
+
+// Ramp starts an endpoint that others may have used with one slot.
+func (e *Endpoint) Ramp(now time.Time) { e.open(now, 1) }
+
+func (e *Endpoint) open(now time.Time, n int32) {
+	e.room.Store(n)
+	e.since.Store(now.UnixNano())
+}
+
+// allowed is how many slots this VM may use at the given time.
+func (e *Endpoint) allowed(now time.Time) int32 {
+	grown := (now.UnixNano() - e.since.Load()) / int64(regrow)
+	if grown > int64(e.Slots) {
+		return e.limit.Load()
+	}
+	return min(e.limit.Load(), e.room.Load()+int32(grown))
+}
 
 // Free is the number of slots open to this VM at the given time.
 func (e *Endpoint) Free(now time.Time) int {
-	if e.leave.Load() || now.UnixNano() < e.shun.Load() {
+	if e.leave.Load() {
 		return 0
 	}
-	return max(0, int(e.limit.Load()-e.busy.Load()))
+	return max(0, int(e.allowed(now)-e.busy.Load()))
 }
 
 // take claims one slot and fails when another thread was faster.
-func (e *Endpoint) take() bool {
+func (e *Endpoint) take(now time.Time) bool {
 	for {
 		n := e.busy.Load()
-		if n >= e.limit.Load() || e.leave.Load() {
+		if n >= e.allowed(now) || e.leave.Load() {
 			return false
 		}
 		if e.busy.CompareAndSwap(n, n+1) {
--- a/internal/task/place/table.go
+++ b/internal/task/place/table.go
@@ -32,11 +32,16 @@
 }
 
 // Update takes over a new list; own says which endpoints this VM may send to.
-// Endpoints that stay keep their slots in use.
-func (t *Table) Update(list []Info, own func(Info) bool) {
+// Endpoints that stay keep their slots in use; ones that come anew start with few,
+// since another VM may have work there.
+func (t *Table) Update(now time.Time, list []Info, own func(Info) bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	old := t.snap.Load()
+	had := make(map[netip.AddrPort]bool, len(old.mine))
+	for _, e := range old.mine {
+		had[e.Addr] = true
+	}
 	next := &snapshot{all: make(map[netip.AddrPort]*Endpoint, len(list))}
 	for _, in := range list {
 		e := old.all[in.Addr]
@@ -49,9 +54,13 @@
 			Memory: max(next.most.Memory, in.Size.Memory),
 			Accels: max(next.most.Accels, in.Size.Accels),
 		}
-		if own(in) {
-			next.mine = append(next.mine, e)
+		if !own(in) {
+			continue
+		}
+		if !had[in.Addr] {
+			e.Ramp(now)
 		}
+		next.mine = append(next.mine, e)
 	}
 	t.snap.Store(next)
 }
@@ -98,7 +107,7 @@
 		if total <= keep || len(list) == 0 {
 			return nil
 		}
-		if e := list[t.policy.Pick(list)]; e.take() {
+		if e := list[t.policy.Pick(list)]; e.take(now) {
 			return e
 		}
 	}
--- a/internal/tool/scene/scene.go
+++ b/internal/tool/scene/scene.go
@@ -20,6 +20,7 @@
 	"dahliawinch/internal/task/flow"
 	"dahliawinch/internal/task/job"
 	"dahliawinch/internal/task/place"
+	"dahliawinch/internal/task/ticket"
 	"dahliawinch/internal/tool/judge"
 	"dahliawinch/internal/tool/mix"
 )
@@ -262,6 +263,32 @@
 	v.closed.Store(true)
 }
 
+// Replace lets a VM leave gracefully and boots a new one at its address; the
+// balancer notices each a second later.
+func (s *Scene) Replace(v *VM) error {
+	go func() {
+		time.Sleep(time.Second)
+		v.closed.Store(true)
+	}()
+	if err := v.Node.Drain(s.ctx); err != nil {
+		return fmt.Errorf("replace %s: %w", v.Mesh, err)
+	}
+	time.Sleep(lingers)
+	if err := v.Node.Drain(s.ctx); err != nil {
+		return fmt.Errorf("replace %s: %w", v.Mesh, err)
+	}
+	v.dead.Store(true)
+	v.cancel()
+	w := s.Boot(v.Mesh, v.Domain)
+	w.closed.Store(true)
+	time.Sleep(time.Second)
+	w.closed.Store(false)
+	return nil
+}
+
+// lingers is how long a leaving VM still takes callers, as entry daemons do.
+const lingers = 2 * time.Second
+
 // Pause freezes a VM; the balancer notices a second later.
 func (s *Scene) Pause(v *VM, d time.Duration) {
 	v.clock.pause(d)
@@ -339,7 +366,12 @@
 		pick++
 		v = s.balance(pick)
 	}
-	a := s.submit(ctx, v, j)
+	var a *job.Answer
+	if j.Kind.Ticket {
+		a = s.ticketed(ctx, v, j, pick)
+	} else {
+		a = s.submit(ctx, v, j)
+	}
 	time.Sleep(client)
 	s.Judge.Answer(j.Name, a)
 	r := Result{
@@ -354,6 +386,34 @@
 // Ideal is the response if every task started at once in the caller's domain.
 func Ideal(j *mix.Job) time.Duration { return 2*client + 2*within + j.Longest() }
 
+// ticketed takes a ticket and sends the job under it as an anxious caller does: to
+// two VMs at once, and again while the outcome is unknown.
+func (s *Scene) ticketed(ctx context.Context, v *VM, j *mix.Job, pick uint64) *job.Answer {
+	text, err := v.Node.Grant(j.Req.Tenant, 1)
+	if err != nil {
+		return job.Refuse(job.Overload, 0, "%v", err)
+	}
+	j.Req.Ticket = ticket.Pick(text, 0)
+	var wg sync.WaitGroup
+	wg.Add(1)
+	go func() {
+		defer wg.Done()
+		if w := s.balance(pick / 7); !w.dead.Load() {
+			s.Judge.Answer(j.Name, s.submit(ctx, w, j))
+		}
+	}()
+	a := s.submit(ctx, v, j)
+	for try := uint64(1); a.Outcome == job.Unknown && try <= 3; try++ {
+		s.Judge.Answer(j.Name, a)
+		time.Sleep(client + 200*time.Millisecond)
+		if w := s.balance(pick/11 + try); !w.dead.Load() {
+			a = s.submit(ctx, w, j)
+		}
+	}
+	wg.Wait()
+	return a
+}
+
 func (s *Scene) submit(ctx context.Context, v *VM, j *mix.Job) *job.Answer {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
