--- a/internal/edge/call/hangup.go
+++ b/internal/edge/call/hangup.go
@@ -27,6 +27,8 @@
 		return func() {}
 	}
 	w := &watch{conn: sys, fn: fn}
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.timer = time.AfterFunc(patient, w.look)
 	return w.stop
 }
--- a/internal/edge/oper/server.go
+++ b/internal/edge/oper/server.go
@@ -106,6 +106,8 @@
 		reply(ctx, fasthttp.StatusServiceUnavailable, Trouble{Error: "this VM leaves"})
 	case !ok:
 		reply(ctx, fasthttp.StatusServiceUnavailable, Trouble{Error: "no document is known yet"})
+	case !s.node.View().Joined(s.node.Stats().Now):
+		reply(ctx, fasthttp.StatusServiceUnavailable, Trouble{Error: "not all listed VMs were heard yet"})
 	default:
 		ctx.SetBodyString("ready\n")
 	}
--- a/internal/edge/wire/pool.go
+++ b/internal/edge/wire/pool.go
@@ -23,7 +23,7 @@
 	idleFor = 10 * time.Second
 	// mostIdle bounds the idle connections to one endpoint; with the slots in use
 	// it keeps all VMs of a failure domain together under 60 an endpoint.
-	mostIdle = 4
+	mostIdle = 8
 	mostBody = 16 << 20
 )
 
--- a/internal/mesh/view/view.go
+++ b/internal/mesh/view/view.go
@@ -89,6 +89,17 @@
 	return vms
 }
 
+// Joined reports whether every listed VM was heard, or had its time to be: before
+// that, this VM doesn't know whom to hand a ticket's submission to.
+func (v *View) Joined(now time.Time) bool {
+	for _, m := range v.Members() {
+		if m.State == Listed && now.Sub(m.Heard) < aloneAfter {
+			return false
+		}
+	}
+	return true
+}
+
 // Learn adds a VM from settings or the list.
 func (v *View) Learn(now time.Time, vm netip.AddrPort, domain string) {
 	if vm == v.self {
--- a/internal/plat/fakes/serve.go
+++ b/internal/plat/fakes/serve.go
@@ -17,9 +17,15 @@
 
 // face is the HTTP side of a stand-in.
 func face(handle fasthttp.RequestHandler) *fasthttp.Server {
-	return &fasthttp.Server{Handler: handle, Name: "stand-in", CloseOnShutdown: true, MaxRequestBodySize: 32 << 20}
+	return &fasthttp.Server{Handler: handle, Name: "stand-in", CloseOnShutdown: true, MaxRequestBodySize: 32 << 20, Logger: quiet{}}
 }
 
+// quiet drops the library's log lines about broken connections.
+type quiet struct{}
+
+// Printf implements fasthttp.Logger.
+func (quiet) Printf(string, ...any) {}
+
 // run serves until ctx ends, at once.
 func run(ctx context.Context, s *fasthttp.Server, l net.Listener) error {
 	stop := context.AfterFunc(ctx, func() {
--- a/internal/task/flow/beat.go
+++ b/internal/task/flow/beat.go
@@ -16,9 +16,9 @@
 	}
 	n.limits(now)
 	b := n.pulse(now)
-	n.beats++
+	round := n.beats.Add(1)
 	for i, m := range n.view.Members() {
-		if m.Domain == n.cfg.Domain || (n.beats+i)%view.Far == 0 || b.Leaving {
+		if m.Domain == n.cfg.Domain || (round+int64(i))%view.Far == 0 || b.Leaving {
 			n.cast(m, b)
 		}
 	}
--- a/internal/task/flow/node.go
+++ b/internal/task/flow/node.go
@@ -60,7 +60,7 @@
 	budget *budget.Budget
 	queues [job.Bands]*queue.Queue[*work]
 
-	beats    int // only the timer's thread counts
+	beats    atomic.Int64
 	serial   atomic.Uint64
 	bytes    atomic.Int64 // of submissions in the house
 	active   atomic.Int64 // submissions in the house
--- a/internal/tool/judge/judge.go
+++ b/internal/tool/judge/judge.go
@@ -80,6 +80,16 @@
 	}
 }
 
+// Starts is how many task starts of a job were seen so far.
+func (j *Judge) Starts(name string) (n int) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for _, k := range j.get(name).starts {
+		n += int(k)
+	}
+	return n
+}
+
 // Answer notes what the caller of a job was told.
 func (j *Judge) Answer(name string, a *job.Answer) {
 	j.mu.Lock()
--- a/internal/tool/local/local.go
+++ b/internal/tool/local/local.go
@@ -222,7 +222,10 @@
 	if !v.Won {
 		return fmt.Errorf("declare: %w: %s", errLost, v.Author)
 	}
-	return d.InForce(ctx, v.Rev)
+	if err := d.InForce(ctx, v.Rev); err != nil {
+		return err
+	}
+	return d.Joined(ctx)
 }
 
 var errLost = errors.New("another declaration was first")
@@ -247,6 +250,29 @@
 	return nil
 }
 
+// Joined returns when every VM hears every other.
+func (d *Deployment) Joined(ctx context.Context) error {
+	for _, v := range d.VMs {
+		for !hears(v, len(d.VMs)-1) {
+			select {
+			case <-ctx.Done():
+				return fmt.Errorf("await members: %w", ctx.Err())
+			case <-time.After(10 * time.Millisecond):
+			}
+		}
+	}
+	return nil
+}
+
+func hears(v *VM, n int) bool {
+	for _, m := range v.Daemon.Node().View().Members() {
+		if m.Usable() {
+			n--
+		}
+	}
+	return n <= 0
+}
+
 // Wasted sums the wasted messages of a cause over all VMs.
 func (d *Deployment) Wasted(c meter.Cause) (n int64) {
 	for _, v := range d.VMs {
--- /dev/null
+++ b/internal/tool/local/local_test.go
@@ -0,0 +1,244 @@
+package local
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"dahliawinch/internal/conf/doc"
+	"dahliawinch/internal/plat/fakes"
+	"dahliawinch/internal/tool/judge"
+	"dahliawinch/internal/tool/load"
+	"dahliawinch/internal/tool/mix"
+	"dahliawinch/winch"
+)
+
+// up starts a small deployment over real sockets.
+func up(t *testing.T, j *judge.Judge) *Deployment {
+	t.Helper()
+	shape := Brief()
+	shape.Domains, shape.VMs, shape.Endpoints = 2, 4, 6
+	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+	t.Cleanup(cancel)
+	d, err := Start(context.Background(), shape, j, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		if err := d.Stop(); err != nil {
+			t.Error(err)
+		}
+	})
+	if err := d.Declare(ctx, mix.Document()); err != nil {
+		t.Fatal(err)
+	}
+	return d
+}
+
+func post(t *testing.T, d *Deployment, path, key string, body io.Reader) (int, map[string]any) {
+	t.Helper()
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+d.VMs[0].Settings.Caller.String()+path, body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if key != "" {
+		req.Header.Set("Authorization", "Bearer "+key)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var out map[string]any
+	if err := json.NewDecoder(resp.Body).Decode(&out); err != nil {
+		t.Fatal(err)
+	}
+	return resp.StatusCode, out
+}
+
+// tasks writes n tasks as JSON.
+func tasks(job string, n int, run time.Duration) string {
+	list := make([]string, n)
+	for i := range list {
+		list[i] = `{"body":` + string(fakes.Task{Job: job, Task: i, Run: doc.Span(run)}.Encode()) + `}`
+	}
+	return strings.Join(list, ",")
+}
+
+func TestBadInputIsRefusedAndStartsNothing(t *testing.T) {
+	j := judge.New()
+	d := up(t, j)
+	const key = "demo-crew"
+	cases := []struct {
+		name, path, key, body string
+		code                  int
+		says                  string
+	}{
+		{"no key", "/jobs", "", `{}`, 401, "Authorization"},
+		{"wrong key", "/jobs", "demo-crewx", `{}`, 401, "Authorization"},
+		{"broken JSON", "/jobs", key, `{"class":"render","tasks":[`, 400, "mend the JSON"},
+		{"unknown field", "/jobs", key, `{"sort":"render"}`, 400, "sort"},
+		{"wrong type", "/jobs", key, `{"class":7}`, 400, "class: is a number"},
+		{"no tasks", "/jobs", key, `{"class":"render"}`, 400, "tasks"},
+		{"no body", "/jobs", key, `{"class":"render","tasks":[{}]}`, 400, "tasks[0].body"},
+		{"521 tasks", "/jobs", key, `{"class":"render","tasks":[` + tasks("x", 521, time.Millisecond) + `]}`, 413, "521"},
+		{"unknown class", "/jobs", key, `{"class":"nope","tasks":[` + tasks("x", 1, time.Millisecond) + `]}`, 400, "class"},
+		{"negative deadline", "/jobs", key, `{"class":"render","deadline":"-1s","tasks":[` + tasks("x", 1, time.Millisecond) + `]}`, 400, "deadline"},
+		{"deadline over the limit", "/jobs", key, `{"class":"render","deadline":"1h","tasks":[` + tasks("x", 1, time.Millisecond) + `]}`, 400, "deadline"},
+		{"no duration", "/jobs", key, `{"class":"render","deadline":"soon","tasks":[` + tasks("x", 1, time.Millisecond) + `]}`, 400, "750ms"},
+		{"too large a task", "/jobs", key, `{"class":"render","tasks":[{"need":{"cores":65},"body":{"job":"x"}}]}`, 413, "cores"},
+		{"negative need", "/jobs", key, `{"class":"render","tasks":[{"need":{"cores":-1},"body":{"job":"x"}}]}`, 400, "need"},
+		{"ticket needed", "/jobs", key, `{"class":"topup","tasks":[` + tasks("x", 1, time.Millisecond) + `]}`, 409, "ticket"},
+		{"forged ticket", "/jobs", key, `{"class":"topup","ticket":"AAAA.0","tasks":[` + tasks("x", 1, time.Millisecond) + `]}`, 409, "ticket"},
+		{"long kind", "/jobs", key, `{"class":"render","kind":"` + strings.Repeat("k", 65) + `","tasks":[` + tasks("x", 1, time.Millisecond) + `]}`, 400, "kind"},
+		{"too many bytes", "/jobs", key, `{"class":"render","tasks":[{"body":"` + strings.Repeat("x", 5<<20) + `"}]}`, 413, "bytes"},
+		{"too many tickets", "/tickets", key, `{"count":100000}`, 400, "count"},
+		{"other path", "/job", key, `{}`, 400, "POST /jobs"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			code, out := post(t, d, c.path, c.key, strings.NewReader(c.body))
+			is.Equal(out["outcome"], "refused")
+			is.Equal(code, c.code)
+			is.True(strings.Contains(fmt.Sprint(out["detail"]), c.says)) // the detail names what to mend
+		})
+	}
+	if v := j.Verdict(); v.Jobs > 0 {
+		t.Errorf("something started: %+v", v)
+	}
+	if n := d.VMs[0].Daemon.Node().Active(); n > 0 {
+		t.Errorf("%d jobs are left in the house", n)
+	}
+}
+
+// Symptom: the library's limit cuts the connection without a word. Sequence: a
+// caller sends more than any document may allow. Cause: no answer for it.
+func TestHugeBodyIsAnswered(t *testing.T) {
+	is := is.New(t)
+	d := up(t, judge.New())
+	c, err := net.Dial("tcp", d.VMs[0].Settings.Caller.String())
+	is.NoErr(err)
+	defer func() { _ = c.Close() }()
+	_, err = fmt.Fprintf(c, "POST /jobs HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n", 1<<30)
+	is.NoErr(err)
+	is.NoErr(c.SetReadDeadline(time.Now().Add(5 * time.Second)))
+	buf, err := io.ReadAll(c)
+	is.NoErr(err)
+	is.True(bytes.Contains(buf, []byte(`"outcome":"refused"`)))
+}
+
+// Symptom: a caller that is gone keeps its place, and its tasks take slots.
+// Sequence: all slots are held, a caller submits and hangs up, slots come free.
+// Cause: nobody looks at the connection while the request waits.
+func TestHangupCancelsWhatWaits(t *testing.T) {
+	is := is.New(t)
+	j := judge.New()
+	d := up(t, j)
+	slots := 6 * 8
+	var wg sync.WaitGroup
+	for i, v := range d.VMs {
+		wg.Go(func() {
+			c := winch.NewClient(v.Settings.Caller, "demo-crew")
+			job := winch.Job{Class: "render", Kind: "hold"}
+			for k := range slots {
+				job.Tasks = append(job.Tasks, winch.Task{Body: fakes.Task{Job: fmt.Sprint("hold", i), Task: k, Run: doc.Span(time.Second)}})
+			}
+			_, _ = c.Submit(t.Context(), job)
+		})
+	}
+	time.Sleep(300 * time.Millisecond)
+	ctx, cancel := context.WithCancel(t.Context())
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+d.VMs[0].Settings.Caller.String()+"/jobs",
+		strings.NewReader(`{"class":"night","tasks":[`+tasks("gone", 4, 10*time.Millisecond)+`]}`))
+	is.NoErr(err)
+	req.Header.Set("Authorization", "Bearer demo-crew")
+	go func() {
+		time.Sleep(200 * time.Millisecond)
+		cancel()
+	}()
+	_, err = http.DefaultClient.Do(req) //nolint:bodyclose // it fails
+	is.True(err != nil)
+	wg.Wait()
+	time.Sleep(200 * time.Millisecond)
+	is.True(j.Starts("hold0") > 0)
+	is.Equal(j.Starts("gone"), 0)
+}
+
+// Symptom: requests are cut or lost when a VM is replaced. Sequence: a VM gets
+// SIGTERM under load, while the balancer still sends. Cause: it stops listening, or
+// drops what it holds.
+func TestLeavingVMCutsNothing(t *testing.T) {
+	is := is.New(t)
+	j := judge.New()
+	d := up(t, j)
+	m := mix.Paper()
+	for i := range m.Kinds {
+		m.Kinds[i].Key = "demo-" + m.Kinds[i].Tenant
+		m.Kinds[i].Most = min(8, m.Kinds[i].Most)
+	}
+	plan := load.Plan{Mix: m, Rate: 0.4 * 48 / m.Work().Seconds(), Span: 3 * time.Second, Seed: 3}
+	for _, v := range d.VMs {
+		plan.Targets = append(plan.Targets, v.Settings.Caller)
+	}
+	l := load.New(plan, j)
+	go func() {
+		time.Sleep(time.Second)
+		d.VMs[1].Leave()
+	}()
+	l.Run(t.Context())
+	<-d.VMs[1].Done()
+	r := l.Report()
+	t.Logf("%+v", r)
+	is.Equal(r.Broken(), 0)
+	is.Equal(r.Done, r.Jobs)
+}
+
+func TestTicketsOverTheWire(t *testing.T) {
+	is := is.New(t)
+	j := judge.New()
+	d := up(t, j)
+	a := winch.NewClient(d.VMs[0].Settings.Caller, "demo-crew")
+	b := winch.NewClient(d.VMs[3].Settings.Caller, "demo-crew")
+	ts, err := a.Tickets(t.Context(), 3)
+	is.NoErr(err)
+	job := winch.Job{Class: "topup", Ticket: ts[0], Grant: 2, Tasks: []winch.Task{{Body: fakes.Task{Job: "t", Run: doc.Span(50 * time.Millisecond)}}}}
+	j.Submit("t", 1)
+	var wg sync.WaitGroup
+	for _, c := range []*winch.Client{a, b, a, b} {
+		wg.Go(func() {
+			ans, err := c.Submit(t.Context(), job)
+			if err != nil || ans.Outcome != winch.Done || len(ans.Results) != 1 || len(ans.Tickets) != 2 {
+				t.Errorf("%+v, %v", ans, err)
+			}
+		})
+	}
+	wg.Wait()
+	is.Equal(j.Verdict().Twice, 0)
+	is.Equal(b.Ask(t.Context(), ts[0]).Outcome, winch.Done)
+	is.Equal(b.Ask(t.Context(), ts[1]).Outcome, winch.Refused) // and used up
+	job.Ticket = ts[1]
+	ans, err := a.Submit(t.Context(), job)
+	is.NoErr(err)
+	is.Equal(ans.Outcome, winch.Refused)
+	job.Ticket, job.Tasks = ts[2], []winch.Task{{Body: fakes.Task{Job: "long", Run: doc.Span(5 * time.Second)}}}
+	go func() {
+		time.Sleep(100 * time.Millisecond)
+		a.Cancel(t.Context(), ts[2])
+	}()
+	ans, err = b.Submit(t.Context(), job)
+	is.NoErr(err)
+	is.Equal(ans.Outcome, winch.Unknown) // it had started
+	is.Equal(ans.Reason, "cancelled")
+}
