Declared documents under races, outages and retention, in virtual time

Cause: the keeper of the document had no tests; scenes applied documents directly.

A declaration can begin again ("found") where every record expired and nobody knows a revision, which no path allowed before: its revision is its offset plus one, above every earlier one.

--- a/internal/conf/fold/fold.go
+++ b/internal/conf/fold/fold.go
@@ -106,6 +106,8 @@
 	switch {
 	case err != nil: // written by something else; no declaration of ours
 		f.pass(at)
+	case rec.Found && rec.Kind == Declare:
+		f.found(at, rec)
 	case rec.Kind == Refresh && !f.known:
 		f.refresh(at, rec)
 	case rec.Kind == Refresh:
@@ -143,6 +145,23 @@
 	f.end(rec.Token, Verdict{Won: true, Rev: f.cur.Rev, Author: rec.Author, Token: rec.Token})
 }
 
+// found makes a declaration the start of everything after it. Each revision took
+// at least one offset, so no revision before is as high as at+1.
+func (f *Fold) found(at int64, rec Record) {
+	if f.known && rec.Token == f.cur.Token {
+		f.cur.Asof = at
+		return
+	}
+	if err := f.valid(rec.Doc); err != nil {
+		f.pass(at)
+		f.end(rec.Token, Verdict{Rev: f.cur.Rev, Author: f.cur.Author, Token: f.cur.Token, Why: err.Error()})
+		return
+	}
+	f.cur = Revision{Rev: uint64(at) + 1, Asof: at, Token: rec.Token, Author: rec.Author, Note: rec.Note, Doc: rec.Doc}
+	f.known, f.early = true, nil
+	f.end(rec.Token, Verdict{Won: true, Rev: f.cur.Rev, Author: rec.Author, Token: rec.Token})
+}
+
 // refresh gives a reader that began late its starting point.
 func (f *Fold) refresh(at int64, rec Record) {
 	if rec.Asof < f.since-1 && !f.naive {
--- a/internal/conf/fold/fold_test.go
+++ b/internal/conf/fold/fold_test.go
@@ -88,6 +88,14 @@
 			}
 		}
 	case 2:
+		if _, ok := f.Current(); !ok && !f.Known() && m.first > 0 {
+			m.serial++
+			r := Record{Kind: Declare, Found: true, Token: fmt.Sprint("f", m.serial), Doc: json.RawMessage(`{}`)}
+			if err := m.append(r); err != nil {
+				return err
+			}
+			break
+		}
 		if r, ok := f.Renewal(); ok {
 			if err := m.append(r); err != nil {
 				return err
@@ -188,6 +196,26 @@
 	is.True(ok && v.Won)
 }
 
+// Symptom: a service can't be configured any more. Sequence: every VM was replaced
+// and every record expired, so no reader can know the base. Cause: no way to begin
+// again that all readers agree on.
+func TestFoundBeginsAgainAboveEverythingBefore(t *testing.T) {
+	is := is.New(t)
+	m := newModel(2, false)
+	m.read(m.vms[0], 1)
+	is.NoErr(m.append(Record{Kind: Declare, Token: "one", Doc: json.RawMessage(`{}`)}))
+	m.read(m.vms[0], 1)
+	m.first = 1
+	m.read(m.vms[1], 1)
+	is.True(!m.vms[1].Known())
+	is.NoErr(m.append(Record{Kind: Declare, Found: true, Token: "two", Doc: json.RawMessage(`{}`)}))
+	for _, f := range m.vms {
+		m.read(f, 9)
+		is.Equal(f.cur.Rev, uint64(2))
+		is.Equal(f.cur.Token, "two")
+	}
+}
+
 func FuzzDecode(f *testing.F) {
 	f.Add([]byte(`{"kind":"declare","base":0,"token":"a","doc":{}}`))
 	f.Add([]byte(`{"kind":"refresh","rev":3,"asof":9,"token":"a","doc":{}}`))
--- a/internal/conf/fold/record.go
+++ b/internal/conf/fold/record.go
@@ -18,8 +18,11 @@
 
 // Record is one entry of a service's stream.
 type Record struct {
-	Kind   Kind            `json:"kind"`
-	Base   uint64          `json:"base"`           // declare: the revision that it changes
+	Kind Kind   `json:"kind"`
+	Base uint64 `json:"base"` // declare: the revision that it changes
+	// Found starts afresh where nobody knows a revision any more: it wins whatever
+	// its base, with the offset as its revision, which is above every earlier one.
+	Found  bool            `json:"found,omitempty"`
 	Rev    uint64          `json:"rev,omitempty"`  // refresh: the revision in force
 	Asof   int64           `json:"asof,omitempty"` // refresh: every offset up to here was folded
 	Token  string          `json:"token"`          // random, names the declaration
--- a/internal/conf/keeper/keeper.go
+++ b/internal/conf/keeper/keeper.go
@@ -178,7 +178,7 @@
 	if _, err := doc.Parse(text); err != nil {
 		return fold.Verdict{}, fmt.Errorf("declare: %w: %w", ErrNotAppended, err)
 	}
-	rec := fold.Record{Kind: fold.Declare, Base: base, Token: rand.Text(), Author: author, Note: note, Doc: text}
+	rec := fold.Record{Kind: fold.Declare, Base: base, Found: base == 0 && k.lost(), Token: rand.Text(), Author: author, Note: note, Doc: text}
 	data, err := rec.Encode()
 	if err != nil {
 		return fold.Verdict{}, fmt.Errorf("declare: %w: %w", ErrNotAppended, err)
@@ -204,6 +204,15 @@
 	}
 }
 
+// lost reports whether nobody knows any revision: the log's records expired, and
+// neither it nor a peer had one to give. Only then may a declaration begin again.
+func (k *Keeper) lost() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	_, ok := k.fold.Current()
+	return !ok && !k.fold.Known() && k.fold.Next() > 0
+}
+
 // settle waits until the record at an offset is folded.
 func (k *Keeper) settle(ctx context.Context, token string, at int64) (fold.Verdict, error) {
 	for {
--- a/internal/tool/scene/net.go
+++ b/internal/tool/scene/net.go
@@ -10,8 +10,10 @@
 	"sync/atomic"
 	"time"
 
+	"dahliawinch/internal/conf/keeper"
 	"dahliawinch/internal/mesh/frame"
 	"dahliawinch/internal/plat/fakes"
+	"dahliawinch/internal/plat/ledger"
 	"dahliawinch/internal/task/flow"
 )
 
@@ -121,6 +123,37 @@
 	return e.Leaving(), nil
 }
 
+// reach is the log as one VM reaches it.
+type reach struct {
+	s    *Scene
+	from *VM
+}
+
+func (r *reach) cut() bool {
+	r.from.clock.Now()
+	r.s.mu.Lock()
+	defer r.s.mu.Unlock()
+	return r.s.logless[r.from.Domain]
+}
+
+// Append implements ledger.Log.
+func (r *reach) Append(ctx context.Context, data []byte) (int64, error) {
+	time.Sleep(between)
+	if r.cut() {
+		return 0, ledger.ErrDown
+	}
+	return r.s.Stream.Append(ctx, data)
+}
+
+// Read implements ledger.Log.
+func (r *reach) Read(ctx context.Context, from int64, wait time.Duration) (ledger.Page, error) {
+	time.Sleep(between)
+	if r.cut() {
+		return ledger.Page{}, ledger.ErrDown
+	}
+	return r.s.Stream.Read(ctx, from, min(wait, time.Second))
+}
+
 // link carries the messages of one VM to one incarnation of another, in order.
 type link struct {
 	s     *Scene
@@ -199,6 +232,7 @@
 	Domain string
 	Inc    uint64
 	Node   *flow.Node
+	Keeper *keeper.Keeper
 	clock  *clock
 	cancel context.CancelFunc
 	gone   chan struct{} // closed when it dies
@@ -208,4 +242,10 @@
 	sent   atomic.Int64
 }
 
+// Rev is the revision in force on the VM.
+func (v *VM) Rev() uint64 {
+	r, _, _ := v.Node.InForce()
+	return r.Rev
+}
+
 func (v *VM) hello() frame.Hello { return frame.Hello{VM: v.Mesh, Inc: v.Inc, Domain: v.Domain} }
--- a/internal/tool/scene/scene.go
+++ b/internal/tool/scene/scene.go
@@ -15,6 +15,7 @@
 	"dahliawinch/internal/base/timer"
 	"dahliawinch/internal/conf/doc"
 	"dahliawinch/internal/conf/fold"
+	"dahliawinch/internal/conf/keeper"
 	"dahliawinch/internal/plat/fakes"
 	"dahliawinch/internal/plat/roster"
 	"dahliawinch/internal/task/flow"
@@ -47,6 +48,9 @@
 	// Faults are played beside the load, each at its time.
 	Faults []Fault
 	Log    io.Writer
+	// LogRules are the platform log's limits, Retention what the VMs know of it.
+	LogRules  fakes.LogRules
+	Retention time.Duration
 }
 
 // Fault does something to the scene at a time since its start.
@@ -61,7 +65,9 @@
 		Domains: 4, VMs: 8, Endpoints: 50, Slots: 8, Policy: place.Homes, Spill: true,
 		Stretch: flow.DefaultStretch, Foresight: true,
 		Doc: mix.Document(), Mix: mix.Paper(), Load: load,
-		Warm: 5 * time.Second, Span: 20 * time.Second, Seed: 1,
+		LogRules:  fakes.LogRules{Rate: 400, Synced: 5 * time.Millisecond, Keep: time.Hour},
+		Retention: time.Hour,
+		Warm:      5 * time.Second, Span: 20 * time.Second, Seed: 1,
 	}
 }
 
@@ -70,6 +76,8 @@
 	Setup
 	Judge *judge.Judge
 	List  *fakes.List
+	// Stream is the service's stream of the platform's log.
+	Stream *fakes.Log
 
 	ctx       context.Context //nolint:containedctx // the life of the scene
 	end       context.CancelFunc
@@ -79,6 +87,7 @@
 	mu        sync.Mutex
 	vms       []*VM
 	cuts      map[[2]string]bool
+	logless   map[string]bool // failure domains cut off from the log
 	endpoints map[netip.AddrPort]*fakes.Endpoint
 	order     []netip.AddrPort
 	meters    []*meter.Meter
@@ -114,10 +123,12 @@
 func Play(set Setup) *Scene {
 	s := &Scene{
 		Setup: set, Judge: judge.New(), r: rand.New(rand.NewPCG(set.Seed, 77)), began: time.Now(),
-		cuts: map[[2]string]bool{}, endpoints: map[netip.AddrPort]*fakes.Endpoint{},
+		cuts: map[[2]string]bool{}, logless: map[string]bool{}, endpoints: map[netip.AddrPort]*fakes.Endpoint{},
 	}
 	s.ctx, s.end = context.WithCancel(context.Background())
 	s.build()
+	s.declare()
+	s.began = time.Now()
 	for _, f := range set.Faults {
 		s.wg.Add(1)
 		go func() {
@@ -154,6 +165,7 @@
 		list.VMs = append(list.VMs, roster.VM{Mesh: a, Domain: domainName(i % s.Domains)})
 	}
 	s.List = fakes.NewList(s.Lag, list)
+	s.Stream = fakes.NewLog(s.LogRules)
 	for _, v := range list.VMs {
 		s.Boot(v.Mesh, v.Domain)
 	}
@@ -170,13 +182,14 @@
 	if out == nil {
 		out = io.Discard
 	}
+	log := slog.New(slog.NewTextHandler(out, nil)).With("vm", at)
 	node, err := flow.New(ctx, flow.Config{
 		Self: at, Domain: domain, Inc: v.Inc, Secret: []byte(fmt.Sprint(s.Seed, v.Inc)), Policy: s.Policy,
 		Memory: flow.DefaultMemory, Term: flow.DefaultTerm, Tickets: flow.DefaultTickets,
 		Retries: flow.DefaultRetries, Spill: s.Spill, Stretch: s.Stretch, Foresight: s.Foresight,
 	}, flow.Parts{
 		Timers: timers, Runner: &wire{s: s, from: v}, Mesh: &post{s: s, from: v, links: map[*VM]*link{}}, Meter: m,
-		Log: slog.New(slog.NewTextHandler(out, nil)).With("vm", at),
+		Log: log,
 	})
 	if err != nil {
 		panic(err) // a scene is written by hand
@@ -200,15 +213,58 @@
 		timers.Run(ctx)
 	}()
 	node.Start()
+	v.Keeper = keeper.New(&reach{s: s, from: v}, timers, s.Retention, node.Apply, log)
+	node.Bind(v.Keeper)
+	s.wg.Add(1)
+	go func() {
+		defer s.wg.Done()
+		v.Keeper.Run(ctx)
+	}()
+	timers.Every(ctx, v.Keeper.RenewLook(), func() {
+		s.wg.Add(1)
+		go func() {
+			defer s.wg.Done()
+			v.Keeper.Renew(ctx)
+		}()
+	})
+	s.watch(ctx, v)
+	return v
+}
+
+// declare puts the first document in force before any load comes.
+func (s *Scene) declare() {
 	text, err := s.Doc.Encode()
 	if err != nil {
 		panic(err)
 	}
-	if err := node.Apply(fold.Revision{Rev: 1, Doc: text, Author: "scene"}); err != nil {
-		panic(err)
+	ctx, cancel := context.WithTimeout(s.ctx, time.Minute)
+	defer cancel()
+	if v, err := s.VM(0).Keeper.Declare(ctx, 0, text, "scene", ""); err != nil || !v.Won {
+		panic(fmt.Sprint("first declaration: ", v, err))
+	}
+	for i := range s.VMs {
+		for s.VM(i).Rev() == 0 {
+			time.Sleep(time.Millisecond)
+		}
 	}
-	s.watch(ctx, v)
-	return v
+}
+
+// Declare puts a changed document forward through a VM, on the base that it has.
+func (s *Scene) Declare(ctx context.Context, v *VM, author string, change func(*doc.Document)) (fold.Verdict, error) {
+	r, ok := v.Keeper.Current()
+	if !ok {
+		return fold.Verdict{}, keeper.ErrNotAppended
+	}
+	d, err := doc.Parse(r.Doc)
+	if err != nil {
+		return fold.Verdict{}, fmt.Errorf("scene: %w", err)
+	}
+	change(d)
+	text, err := d.Encode()
+	if err != nil {
+		return fold.Verdict{}, fmt.Errorf("scene: %w", err)
+	}
+	return v.Keeper.Declare(ctx, r.Rev, text, author, "")
 }
 
 // watch keeps a VM's copy of the list fresh.
@@ -307,6 +363,13 @@
 	s.cuts[[2]string{y, x}] = on
 }
 
+// CutLog separates a failure domain from the platform's log, or heals it.
+func (s *Scene) CutLog(a int, on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.logless[domainName(a)] = on
+}
+
 func (s *Scene) cut(a, b string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
