Quotas of tenants over all VMs, by shares told with heartbeats

Cause: a document could declare a tenant's rate and slots, and nothing held to it.

Change: package quota works out each VM's share of each quota from what all VMs want; the queue passes over tenants that have used theirs. Rises of the own demand count after 0.8 s, when peers have heard of them.

Forwarded tasks count at the VM that gave them.

--- a/internal/task/flow/beat.go
+++ b/internal/task/flow/beat.go
@@ -34,7 +34,7 @@
 func (n *Node) pulse(now time.Time) *frame.Beat {
 	b := &frame.Beat{
 		At: now, Room: n.room(now), Queued: n.Waiting(), Wait: n.wait(job.Routine, now),
-		Leaving: n.draining.Load(), Doubts: n.view.Doubts(now), Out: n.health.Out(),
+		Use: n.quota.Tick(now, view.Period), Leaving: n.draining.Load(), Doubts: n.view.Doubts(now), Out: n.health.Out(),
 	}
 	n.listMu.Lock()
 	for a, w := range n.gone {
--- a/internal/task/flow/config.go
+++ b/internal/task/flow/config.go
@@ -8,6 +8,7 @@
 	"dahliawinch/internal/conf/doc"
 	"dahliawinch/internal/conf/fold"
 	"dahliawinch/internal/mesh/frame"
+	"dahliawinch/internal/task/quota"
 )
 
 // Docs is where revisions come from and go to; the keeper of the log's fold
@@ -31,6 +32,11 @@
 	if err != nil {
 		return fmt.Errorf("apply revision %d: %w", r.Rev, err)
 	}
+	limits := map[string]quota.Limit{}
+	for name, t := range d.Tenants {
+		limits[name] = quota.Limit{Rate: t.Rate, Slots: t.Slots}
+	}
+	n.quota.Declare(n.now(), limits)
 	n.conf.Store(&conf{rev: r, doc: d, keys: doc.NewKeyring(d), since: n.now()})
 	n.parts.Log.Info("document in force", "rev", r.Rev, "author", r.Author)
 	n.rehome()
--- a/internal/task/flow/node.go
+++ b/internal/task/flow/node.go
@@ -20,6 +20,7 @@
 	"dahliawinch/internal/task/learn"
 	"dahliawinch/internal/task/place"
 	"dahliawinch/internal/task/queue"
+	"dahliawinch/internal/task/quota"
 	"dahliawinch/internal/task/ticket"
 )
 
@@ -58,6 +59,7 @@
 	book   *ticket.Book
 	view   *view.View
 	budget *budget.Budget
+	quota  *quota.Book
 	queues [job.Bands]*queue.Queue[*work]
 
 	beats    atomic.Int64
@@ -67,6 +69,7 @@
 	running  atomic.Int64 // attempts on endpoints
 	urgent   atomic.Int64 // slots used by urgent work
 	draining atomic.Bool
+	looking  atomic.Bool // a later pump is on its way
 
 	guestMu sync.Mutex // batches of tasks that peers gave
 
@@ -96,6 +99,7 @@
 		table:  place.NewTable(policy),
 		health: health.New(),
 		view:   view.New(cfg.Self, cfg.Domain, now),
+		quota:  quota.New(),
 		budget: budget.New(now, cfg.Retries, 5, 50),
 		book: ticket.NewBook(cfg.Self, cfg.Inc, cfg.Secret, ticket.Limits{
 			Term: cfg.Term, Uses: cfg.Tickets, Bytes: cfg.Memory / 4,
--- a/internal/task/flow/pump.go
+++ b/internal/task/flow/pump.go
@@ -21,6 +21,22 @@
 	if n.cfg.Spill {
 		n.spill(now)
 	}
+	if n.Waiting() > 0 && n.quota.Limited() {
+		n.pumpLater()
+	}
+}
+
+// quotaLook is how soon work that waits for its tenant's quota is looked at again.
+const quotaLook = 10 * time.Millisecond
+
+// pumpLater pumps once more after a while; one such look at a time.
+func (n *Node) pumpLater() {
+	if n.looking.CompareAndSwap(false, true) {
+		n.parts.Timers.After(quotaLook, func() {
+			n.looking.Store(false)
+			n.pump()
+		})
+	}
 }
 
 func (n *Node) pumpBand(band job.Band, now time.Time) {
@@ -56,7 +72,7 @@
 // next takes the task that goes first, giving up jobs that can't be done in time.
 func (n *Node) next(q *queue.Queue[*work], now time.Time) (e *queue.Entry[*work], i int, ok bool) {
 	for {
-		e, ok = q.Next()
+		e, ok = q.Next(func(tenant string) bool { return n.quota.Open(now, tenant) })
 		if !ok {
 			return nil, 0, false
 		}
@@ -74,6 +90,7 @@
 // start sends one task on its way to an endpoint whose slot is claimed.
 func (n *Node) start(w *work, i int, ep *place.Endpoint) {
 	n.budget.Earn(1)
+	n.quota.Start(n.now(), w.req.Tenant)
 	t := &try{
 		n: n, ep: ep, task: &w.req.Tasks[i], key: w.key, band: w.class.Band,
 		due: w.due, owner: &share{n: n, w: w, i: i},
@@ -92,19 +109,23 @@
 
 func (s *share) ran(body []byte, ran time.Duration) {
 	s.n.parts.Meter.Ran(s.w.req.Tenant, s.w.req.Class, s.n.now().Sub(s.w.began)-ran, ran)
+	s.n.quota.End(s.w.req.Tenant, false)
 	s.n.settle(s.w, s.w.gather(s.i, body, ran))
 }
 
 func (s *share) ranBadly(detail string) {
+	s.n.quota.End(s.w.req.Tenant, false)
 	s.n.settle(s.w, s.w.fail(true, job.TaskFailed, "a task ran and failed: "+detail))
 }
 
 func (s *share) lost(detail string) {
+	s.n.quota.End(s.w.req.Tenant, false)
 	s.n.settle(s.w, s.w.fail(false, job.Silent, detail))
 }
 
 // notRun puts the task back in the queue, or ends the job.
 func (s *share) notRun(sent bool, why job.Reason, detail string) {
+	s.n.quota.End(s.w.req.Tenant, true)
 	if sent {
 		s.w.unsend()
 	}
--- a/internal/task/flow/receive.go
+++ b/internal/task/flow/receive.go
@@ -44,6 +44,7 @@
 			n.leave(a, from.VM.String(), false)
 		}
 	}
+	n.quota.Hear(from.VM, b.Use)
 	for _, a := range b.Out {
 		n.health.Hear(now, a)
 	}
@@ -56,6 +57,9 @@
 // changed acts on a member's new state.
 func (n *Node) changed(c view.Change) {
 	n.parts.Log.Info("member", "vm", c.VM, "state", c.State.String(), "inc", c.Inc)
+	if c.State == view.Gone || c.State == view.Left {
+		n.quota.Forget(c.VM)
+	}
 	if c.State == view.Gone {
 		n.forsake(c.VM, c.Inc)
 	}
--- a/internal/task/flow/spill.go
+++ b/internal/task/flow/spill.go
@@ -142,6 +142,7 @@
 			if !e.Job.send() {
 				continue
 			}
+			n.quota.Start(now, e.Job.req.Tenant)
 			g.tasks = append(g.tasks, given{w: e.Job, i: i, sent: now})
 			msg.Tasks = append(msg.Tasks, frame.Task{
 				Job: e.Job.id, Index: i, Tenant: e.Job.req.Tenant, Class: e.Job.req.Class, Kind: e.Job.req.Kind,
@@ -180,6 +181,7 @@
 		t.done = true
 		g.open--
 		t.w.unsend()
+		n.quota.End(t.w.req.Tenant, true)
 		if t.w.push(t.i) {
 			n.queues[t.w.class.Band].Return(&t.w.entry)
 		}
--- a/internal/task/flow/submit.go
+++ b/internal/task/flow/submit.go
@@ -125,6 +125,7 @@
 	w.expiry = n.parts.Timers.After(req.Left, func() {
 		n.settle(w, w.quit(job.Deadline, 0, "its time ran out"))
 	})
+	n.quota.Want(req.Tenant, len(req.Tasks))
 	n.queues[class.Band].Push(now, &w.entry)
 	n.pump()
 	return w
@@ -137,7 +138,7 @@
 		return
 	}
 	w.expiry.Stop()
-	n.queues[w.class.Band].Drop(&w.entry)
+	n.quota.Drop(w.req.Tenant, n.queues[w.class.Band].Drop(&w.entry))
 	n.parts.Meter.Answered(w.req.Tenant, w.req.Class, a, n.now().Sub(w.began), w.longest)
 	if a.Outcome == job.Unknown || a.Outcome == job.Failed {
 		n.parts.Log.Info("job not done", "tenant", w.req.Tenant, "class", w.req.Class, "outcome", a.Outcome.String(), "reason", string(a.Reason), "detail", a.Detail)
--- a/internal/task/queue/queue.go
+++ b/internal/task/queue/queue.go
@@ -1,6 +1,7 @@
 package queue
 
 import (
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -35,7 +36,8 @@
 	name   string
 	served time.Duration // slot time per weight, in the queue's virtual time
 	jobs   *heap.Heap[*Entry[T]]
-	at     int // index in active, or -1
+	at     int  // index in active, or -1
+	open   bool // within its quota, as of the last look
 }
 
 // New returns an empty queue; epoch only anchors ranks.
@@ -60,11 +62,12 @@
 	q.account(e, e.Tasks)
 }
 
-// Next takes one task of the job that goes first; ok is false if none waits.
-func (q *Queue[T]) Next() (e *Entry[T], ok bool) {
+// Next takes one task of the job that goes first; ok is false if none waits of a
+// tenant that open lets through.
+func (q *Queue[T]) Next(open func(tenant string) bool) (e *Entry[T], ok bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	t := q.first()
+	t := q.first(open)
 	if t == nil {
 		return nil, false
 	}
@@ -147,18 +150,24 @@
 
 // first picks the tenant whose best job ranks first among those not ahead of
 // their share by more than the lead.
-func (q *Queue[T]) first() *tenant[T] {
+func (q *Queue[T]) first(open func(string) bool) *tenant[T] {
 	if len(q.active) == 0 {
 		return nil
 	}
-	least := q.active[0].served
-	for _, t := range q.active[1:] {
-		least = min(least, t.served)
+	least := time.Duration(math.MaxInt64)
+	for _, t := range q.active {
+		t.open = open(t.name)
+		if t.open {
+			least = min(least, t.served)
+		}
+	}
+	if least == math.MaxInt64 {
+		return nil
 	}
 	q.virtual = max(q.virtual, least)
 	var best *tenant[T]
 	for _, t := range q.active {
-		if t.served-least > q.order.Lead {
+		if !t.open || t.served-least > q.order.Lead {
 			continue
 		}
 		if best == nil || t.jobs.Peek().key < best.jobs.Peek().key {
--- a/internal/task/queue/queue_test.go
+++ b/internal/task/queue/queue_test.go
@@ -14,6 +14,8 @@
 	order = Order{Spread: 50, Stretch: 4, Lead: 2 * time.Second}
 )
 
+func all(string) bool { return true }
+
 func entry(tenant string, tasks int, weight float64) *Entry[string] {
 	return &Entry[string]{Job: tenant, Tenant: tenant, Weight: weight, Cost: 200 * time.Millisecond, Tasks: tasks}
 }
@@ -31,7 +33,7 @@
 	}
 	got := map[string]int{}
 	for range 800 {
-		e, ok := q.Next()
+		e, ok := q.Next(all)
 		is.True(ok)
 		got[e.Tenant]++
 	}
@@ -39,12 +41,25 @@
 	is.True(ratio > 2.5 && ratio < 3.5)
 }
 
+func TestTenantOverItsQuotaHoldsUpNobody(t *testing.T) {
+	is := is.New(t)
+	q := New[string](epoch, order)
+	q.Push(epoch, entry("a", 5, 1))
+	q.Push(epoch.Add(time.Second), entry("b", 5, 1))
+	e, ok := q.Next(func(tenant string) bool { return tenant == "b" })
+	is.True(ok)
+	is.Equal(e.Tenant, "b")
+	_, ok = q.Next(func(string) bool { return false })
+	is.True(!ok)
+	is.Equal(q.Tasks(), 9)
+}
+
 func TestSmallJobGoesBeforeLargeOneOfTheSameMoment(t *testing.T) {
 	is := is.New(t)
 	q := New[string](epoch, order)
 	q.Push(epoch, entry("a", 500, 1))
 	q.Push(epoch.Add(time.Millisecond), entry("b", 1, 1))
-	e, _ := q.Next()
+	e, _ := q.Next(all)
 	is.Equal(e.Tenant, "b")
 }
 
@@ -72,7 +87,7 @@
 				q.Push(now, e)
 				waiting[e] = e.Tasks
 			case 2:
-				e, ok := q.Next()
+				e, ok := q.Next(all)
 				if ok != (total() > 0) {
 					t.Fatalf("next is %v with %d waiting", ok, total())
 				}
--- /dev/null
+++ b/internal/tool/scene/quota_test.go
@@ -0,0 +1,88 @@
+package scene
+
+import (
+	"slices"
+	"testing"
+	"time"
+)
+
+// busiest is the most starts of a tenant in any window of d, after a time.
+func busiest(s *Scene, tenant string, after, d time.Duration) (most int) {
+	all := slices.Clone(s.starts[tenant])
+	slices.Sort(all)
+	from := 0
+	for i, at := range all {
+		for at-all[from] >= d {
+			from++
+		}
+		if all[from] >= after {
+			most = max(most, i-from+1)
+		}
+	}
+	return most
+}
+
+const (
+	quotaRate   = 60 // task starts a second of tenant crew
+	quotaWindow = 5 * time.Second
+)
+
+func quotaSetup() Setup {
+	set := Brief(0.7)
+	set.Span = 40 * time.Second
+	crew := set.Doc.Tenants["crew"]
+	crew.Rate = quotaRate
+	set.Doc.Tenants["crew"] = crew
+	return set
+}
+
+// Symptom: a tenant gets several times its quota. Sequence: its callers come to all
+// eight VMs and want five times the quota. Cause: each VM grants the whole quota, or
+// its share follows demand before the peers have heard of it.
+func TestQuotaHoldsOverAllVMs(t *testing.T) {
+	t.Parallel()
+	s := play(t, quotaSetup())
+	most := busiest(s, "crew", 0, quotaWindow)
+	allowed := quotaRate * quotaWindow.Seconds()
+	in := 0
+	for _, at := range s.starts["crew"] {
+		if at < s.Warm+s.Span {
+			in++
+		}
+	}
+	total := float64(in) / (s.Warm + s.Span).Seconds()
+	t.Logf("%.3f of the quota in the busiest 5 s, %.1f starts a second on average, quota %d", float64(most)/allowed, total, quotaRate)
+	if float64(most) > 1.05*allowed {
+		t.Errorf("%d starts in 5 s, %v allowed", most, allowed)
+	}
+	if total < 0.85*quotaRate {
+		t.Errorf("only %.1f starts a second of a quota of %d", total, quotaRate)
+	}
+}
+
+// A cut-off failure domain hears nobody and may use the whole quota: with one domain
+// cut off there are two sides, and twice the quota is the bound.
+func TestQuotaWhenADomainIsCutOff(t *testing.T) {
+	t.Parallel()
+	set := quotaSetup()
+	set.Faults = []Fault{{15 * time.Second, func(s *Scene) {
+		for n := 1; n < 4; n++ {
+			s.Cut(0, n, true)
+		}
+		time.Sleep(20 * time.Second)
+		for n := 1; n < 4; n++ {
+			s.Cut(0, n, false)
+		}
+	}}}
+	s := play(t, set)
+	most := busiest(s, "crew", 0, quotaWindow)
+	healed := busiest(s, "crew", 38*time.Second, quotaWindow)
+	allowed := quotaRate * quotaWindow.Seconds()
+	t.Logf("cut off: %.3f of the quota in the busiest 5 s; healed: %.3f", float64(most)/allowed, float64(healed)/allowed)
+	if float64(most) > 2*1.05*allowed {
+		t.Errorf("%d starts in 5 s, %v allowed on each side", most, allowed)
+	}
+	if float64(healed) > 1.1*allowed {
+		t.Errorf("%d starts in 5 s after healing", healed)
+	}
+}
--- a/internal/tool/scene/scene.go
+++ b/internal/tool/scene/scene.go
@@ -91,7 +91,9 @@
 	endpoints map[netip.AddrPort]*fakes.Endpoint
 	order     []netip.AddrPort
 	meters    []*meter.Meter
-	marks     [2]counts // at the start and the end of the measured span
+	marks     [2]counts                  // at the start and the end of the measured span
+	tenants   map[string]string          // by job
+	starts    map[string][]time.Duration // of tasks, by tenant
 	results   []Result
 	trace     []Arrival
 	serial    atomic.Uint64
@@ -123,7 +125,7 @@
 func Play(set Setup) *Scene {
 	s := &Scene{
 		Setup: set, Judge: judge.New(), r: rand.New(rand.NewPCG(set.Seed, 77)), began: time.Now(),
-		cuts: map[[2]string]bool{}, logless: map[string]bool{}, endpoints: map[netip.AddrPort]*fakes.Endpoint{},
+		cuts: map[[2]string]bool{}, logless: map[string]bool{}, tenants: map[string]string{}, starts: map[string][]time.Duration{}, endpoints: map[netip.AddrPort]*fakes.Endpoint{},
 	}
 	s.ctx, s.end = context.WithCancel(context.Background())
 	s.build()
@@ -157,7 +159,7 @@
 			Addr: a, Domain: domainName(i % s.Domains), Rack: fmt.Sprintf("rack-%d", i/6),
 			Slots: s.Slots, Size: job.Size{Cores: 64, Memory: 128},
 		}
-		s.endpoints[a] = fakes.NewEndpoint(in, s.Judge)
+		s.endpoints[a] = fakes.NewEndpoint(in, s)
 		s.order = append(s.order, a)
 		list.Endpoints = append(list.Endpoints, roster.Endpoint{Info: in})
 	}
@@ -418,10 +420,22 @@
 	callers.Wait()
 }
 
+// Started implements fakes.Witness.
+func (s *Scene) Started(name string, task int) {
+	s.Judge.Started(name, task)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	tenant := s.tenants[name]
+	s.starts[tenant] = append(s.starts[tenant], time.Since(s.began))
+}
+
 // Call submits one job as a caller does and notes what it was told.
 func (s *Scene) Call(ctx context.Context, j *mix.Job, pick uint64) *job.Answer {
 	began := time.Now()
 	s.Judge.Submit(j.Name, len(j.Req.Tasks))
+	s.mu.Lock()
+	s.tenants[j.Name] = j.Req.Tenant
+	s.mu.Unlock()
 	time.Sleep(client)
 	v := s.balance(pick)
 	for v.dead.Load() { // refused connection: nothing was sent, the next VM is tried
