A closed node waits for its goroutines

Cause: a probe that slept when a scene ended was left behind; one run in a few of the scene tests ended with a deadlock of the bubble.

Change: the node counts its goroutines; daemon and scenes wait for them after Close.

--- a/internal/edge/entry/daemon.go
+++ b/internal/edge/entry/daemon.go
@@ -158,6 +158,7 @@
 	defer cancel()
 	d.node.Close()
 	d.pool.Close()
+	d.node.Wait()
 	if err := errors.Join(d.call.Shutdown(ctx), d.oper.Shutdown(ctx)); err != nil {
 		d.log.Warn("close", "err", err)
 	}
--- a/internal/task/flow/handoff.go
+++ b/internal/task/flow/handoff.go
@@ -253,13 +253,13 @@
 // receiveSubmit works for a peer; it never hands on.
 func (n *Node) receiveSubmit(from frame.Hello, s *frame.Submit) {
 	n.active.Add(1)
-	go func() {
+	n.wg.Go(func() {
 		defer n.active.Add(-1)
 		a := n.serve(s)
 		if err := n.parts.Mesh.Cast(from.VM, &frame.Reply{Call: s.Call, Answer: *a}); err != nil {
 			n.parts.Log.Warn("no way back", "to", from.VM, "msg", "reply", "err", err)
 		}
-	}()
+	})
 }
 
 func (n *Node) serve(s *frame.Submit) *job.Answer {
--- a/internal/task/flow/node.go
+++ b/internal/task/flow/node.go
@@ -50,6 +50,7 @@
 	parts  Parts
 	ctx    context.Context //nolint:containedctx // the life of the node, not of a request
 	cancel context.CancelFunc
+	wg     sync.WaitGroup
 
 	conf   atomic.Pointer[conf]
 	docs   atomic.Pointer[Docs]
@@ -126,6 +127,9 @@
 // Close ends the node at once; Drain before it cuts nothing.
 func (n *Node) Close() { n.cancel() }
 
+// Wait returns when nothing of a closed node runs any more.
+func (n *Node) Wait() { n.wg.Wait() }
+
 func (n *Node) now() time.Time { return n.parts.Timers.Now() }
 
 // View returns what the node believes of the other VMs.
@@ -246,7 +250,7 @@
 		}
 		if e.Quiet(now, quietFor) {
 			e.Hear(now) // asked is as good as heard until the answer
-			go n.ask(e)
+			n.wg.Go(func() { n.ask(e) })
 		}
 	}
 }
--- a/internal/task/flow/receive.go
+++ b/internal/task/flow/receive.go
@@ -10,6 +10,9 @@
 // Receive takes in a message of one incarnation of a peer. Messages of one peer
 // come in order and one at a time.
 func (n *Node) Receive(from frame.Hello, m frame.Msg) {
+	if n.ctx.Err() != nil {
+		return
+	}
 	switch m := m.(type) {
 	case *frame.Beat:
 		n.receiveBeat(from, m)
--- a/internal/task/flow/try.go
+++ b/internal/task/flow/try.go
@@ -50,7 +50,7 @@
 	if t.band == job.Urgent {
 		t.n.urgent.Add(1)
 	}
-	go t.run()
+	t.n.wg.Go(t.run)
 }
 
 func (t *try) run() {
--- a/internal/tool/scene/scene.go
+++ b/internal/tool/scene/scene.go
@@ -91,6 +91,7 @@
 	endpoints map[netip.AddrPort]*fakes.Endpoint
 	order     []netip.AddrPort
 	meters    []*meter.Meter
+	nodes     []*flow.Node               // of every life of every VM
 	marks     [2]counts                  // at the start and the end of the measured span
 	tenants   map[string]string          // by job
 	starts    map[string][]time.Duration // of tasks, by tenant
@@ -208,6 +209,7 @@
 		s.vms = append(s.vms, v)
 	}
 	s.meters = append(s.meters, m)
+	s.nodes = append(s.nodes, node)
 	s.mu.Unlock()
 	s.wg.Add(1)
 	go func() {
@@ -515,6 +517,9 @@
 	time.Sleep(10 * time.Second)
 	s.end()
 	s.wg.Wait()
+	for _, n := range s.nodes {
+		n.Wait()
+	}
 }
 
 // Results are the jobs that arrived in the measured span.
