What operators hold: schema, forms, console, commands, keys and TLS

Cause: documents could only be declared by a test or by a POST; type errors named no field; anyone on the operators' listener could declare.

Hang-ups are read from the kernel's TCP state, which works under TLS too.

--- a/internal/cli/cmds/command.go
+++ b/internal/cli/cmds/command.go
@@ -25,7 +25,10 @@
 }
 
 // commands in the order of the help text.
-var commands = []command{cmdDemo, cmdLocal, cmdEntry, cmdCheck, cmdLoad, cmdVersion}
+var commands = []command{
+	cmdDemo, cmdLocal, cmdEntry, cmdCheck, cmdLoad,
+	cmdDeclare, cmdForm, cmdDiff, cmdHistory, cmdWatch, cmdKeys, cmdVersion,
+}
 
 // code is an error that ends the process with an exit code of its own.
 type code struct {
--- a/internal/conf/doc/doc.go
+++ b/internal/conf/doc/doc.go
@@ -113,6 +113,9 @@
 	if len(text) > MaxText {
 		return nil, &InvalidError{[]Problem{{"document", fmt.Sprintf("%d bytes", len(text)), fmt.Sprintf("keep it under %d", MaxText)}}}
 	}
+	if ps := shape(text); len(ps) > 0 {
+		return nil, &InvalidError{ps}
+	}
 	d := &Document{}
 	if err := Strict(text, d); err != nil {
 		return nil, &InvalidError{[]Problem{jsonProblem("document", err)}}
--- /dev/null
+++ b/internal/conf/doc/schema.go
@@ -0,0 +1,102 @@
+package doc
+
+import (
+	"bytes"
+	_ "embed" // the schema is a file of its own, for editors and consoles
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+
+	"github.com/santhosh-tekuri/jsonschema/v6"
+	"github.com/santhosh-tekuri/jsonschema/v6/kind"
+)
+
+//go:embed schema.json
+var schemaText []byte
+
+// Schema is the JSON Schema of a document.
+func Schema() []byte { return bytes.Clone(schemaText) }
+
+var compiled = sync.OnceValues(func() (*jsonschema.Schema, error) {
+	const name = "schema.json"
+	text, err := jsonschema.UnmarshalJSON(bytes.NewReader(schemaText))
+	if err != nil {
+		return nil, fmt.Errorf("read schema: %w", err)
+	}
+	c := jsonschema.NewCompiler()
+	if err := c.AddResource(name, text); err != nil {
+		return nil, fmt.Errorf("add schema: %w", err)
+	}
+	s, err := c.Compile(name)
+	if err != nil {
+		return nil, fmt.Errorf("compile schema: %w", err)
+	}
+	return s, nil
+})
+
+// shape checks a document's JSON against the schema: fields, types, names.
+func shape(text []byte) []Problem {
+	s, err := compiled()
+	if err != nil {
+		return []Problem{{"document", err.Error(), "this program is broken; report it"}}
+	}
+	value, err := jsonschema.UnmarshalJSON(bytes.NewReader(text))
+	if err != nil {
+		return []Problem{{"document", strings.TrimPrefix(err.Error(), "invalid character "), "mend the JSON"}}
+	}
+	var bad *jsonschema.ValidationError
+	if errors.As(s.Validate(value), &bad) {
+		ps := leaves(bad)
+		slices.SortStableFunc(ps, func(a, b Problem) int { return strings.Compare(a.Field, b.Field) })
+		return ps
+	}
+	return nil
+}
+
+// leaves turns the innermost causes into problems.
+func leaves(e *jsonschema.ValidationError) (ps []Problem) {
+	if len(e.Causes) > 0 {
+		for _, c := range e.Causes {
+			ps = append(ps, leaves(c)...)
+		}
+		return ps
+	}
+	at := strings.Join(e.InstanceLocation, ".")
+	whole := at
+	if whole == "" {
+		whole = "document"
+	}
+	switch k := e.ErrorKind.(type) {
+	case *kind.AdditionalProperties:
+		for _, name := range k.Properties {
+			ps = append(ps, Problem{join(at, name), "is not a known field", "remove it, or mend its spelling"})
+		}
+		return ps
+	case *kind.Required:
+		for _, name := range k.Missing {
+			ps = append(ps, Problem{join(at, name), "is missing", "add it"})
+		}
+		return ps
+	case *kind.Type:
+		return []Problem{{whole, "is of type " + k.Got, "write a value of type " + strings.Join(k.Want, " or ")}}
+	case *kind.Enum:
+		return []Problem{{whole, fmt.Sprintf("is %q", k.Got), fmt.Sprintf("use one of %v", k.Want)}}
+	case *kind.Pattern:
+		mend := "write a duration like 750ms or 2s"
+		if strings.Contains(k.Want, "{1,5}") {
+			mend = "write an IP number and a port, such as 10.1.2.3:8080"
+		}
+		return []Problem{{whole, fmt.Sprintf("is %q", k.Got), mend}}
+	default:
+		return []Problem{{whole, "does not fit the schema", "compare it with docs/DOCUMENT.md"}}
+	}
+}
+
+func join(at, name string) string {
+	if at == "" {
+		return name
+	}
+	return at + "." + name
+}
--- a/internal/conf/fold/fold.go
+++ b/internal/conf/fold/fold.go
@@ -40,6 +40,7 @@
 	early  []entry // declarations read while not known
 	ended  map[string]Verdict
 	recent []string
+	past   []Revision // the latest that were in force, oldest first
 
 	naive bool // tests only: trust any refresh, to show that they catch it
 }
@@ -54,6 +55,8 @@
 	mostEarly = 4096
 	// mostEnded bounds how many declarations' verdicts are remembered.
 	mostEnded = 1024
+	// mostPast bounds the revisions kept to go back to.
+	mostPast = 20
 )
 
 // New returns a fold that knows nothing; valid judges documents and must give
@@ -142,6 +145,7 @@
 		return
 	}
 	f.cur = Revision{Rev: rec.Base + 1, Asof: at, Token: rec.Token, Author: rec.Author, Note: rec.Note, Doc: rec.Doc}
+	f.enter()
 	f.end(rec.Token, Verdict{Won: true, Rev: f.cur.Rev, Author: rec.Author, Token: rec.Token})
 }
 
@@ -159,6 +163,7 @@
 	}
 	f.cur = Revision{Rev: uint64(at) + 1, Asof: at, Token: rec.Token, Author: rec.Author, Note: rec.Note, Doc: rec.Doc}
 	f.known, f.early = true, nil
+	f.enter()
 	f.end(rec.Token, Verdict{Won: true, Rev: f.cur.Rev, Author: rec.Author, Token: rec.Token})
 }
 
@@ -184,6 +189,7 @@
 	if f.cur.Rev < was.Rev && !f.naive {
 		f.cur, f.known, f.early = was, false, early
 	}
+	f.enter()
 }
 
 // Adopt takes a revision from a peer and reports whether a newer one is in force.
@@ -203,6 +209,7 @@
 	default:
 		f.cur = r // served, though records after its Asof were missed
 	}
+	f.enter()
 	return f.cur.Rev > was
 }
 
@@ -218,6 +225,20 @@
 	}
 }
 
+// History returns the latest revisions that were in force, oldest first.
+func (f *Fold) History() []Revision { return append([]Revision{}, f.past...) }
+
+// enter remembers a revision that came into force.
+func (f *Fold) enter() {
+	if n := len(f.past); n > 0 && f.past[n-1].Rev >= f.cur.Rev {
+		return
+	}
+	f.past = append(f.past, f.cur)
+	if len(f.past) > mostPast {
+		f.past = f.past[1:]
+	}
+}
+
 // Renewal returns a refresh of the current revision, if it is certain.
 func (f *Fold) Renewal() (Record, bool) {
 	if !f.known || f.cur.Rev == 0 {
--- a/internal/conf/keeper/keeper.go
+++ b/internal/conf/keeper/keeper.go
@@ -124,6 +124,13 @@
 	return k.fold.Current()
 }
 
+// History returns the latest revisions that were in force, oldest first.
+func (k *Keeper) History() []fold.Revision {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.fold.History()
+}
+
 // Sure reports whether the current revision is certain up to what was read.
 func (k *Keeper) Sure() bool {
 	k.mu.Lock()
--- a/internal/conf/setup/setup.go
+++ b/internal/conf/setup/setup.go
@@ -3,6 +3,8 @@
 package setup
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
 	"fmt"
 	"net/netip"
@@ -31,6 +33,21 @@
 	Retention doc.Span         `json:"retention"`
 	Linger    doc.Span         `json:"linger"`
 	Level     string           `json:"level"`
+	// Operators are the SHA-256 hashes of operator keys, by the operator's name.
+	Operators map[string]string `json:"operators,omitempty"`
+	// TLS names files of keys and certificates; empty for none.
+	TLS TLS `json:"tls,omitzero"`
+}
+
+// TLS names the PEM files for a VM's listeners. The same certificate serves callers,
+// operators and, with the authority for both sides, the other entry VMs.
+type TLS struct {
+	Cert      string `json:"cert,omitempty"`
+	Key       string `json:"key,omitempty"`
+	Authority string `json:"authority,omitempty"` // of the entry VMs
+	Mesh      bool   `json:"mesh,omitempty"`      // mutual TLS between entry VMs
+	Caller    bool   `json:"caller,omitempty"`
+	Operator  bool   `json:"operator,omitempty"`
 }
 
 // Default returns the settings that a file or flag changes.
@@ -75,6 +92,13 @@
 	need(s.Term.Std() >= time.Second && s.Term.Std() <= time.Hour, "term", s.Term.Std().String(), "use 1s to 1h")
 	need(s.Retention.Std() >= time.Minute, "retention", s.Retention.Std().String(), "use the log's retention, at least 1m")
 	need(s.Linger >= 0 && s.Linger.Std() <= time.Minute, "linger", s.Linger.Std().String(), "use 0s to 1m")
+	for name, h := range s.Operators {
+		raw, err := hex.DecodeString(h)
+		need(err == nil && len(raw) == sha256.Size, "operators."+name, "is not a SHA-256 in hex", "make one with: dahliawinch keys hash")
+	}
+	wants := s.TLS.Mesh || s.TLS.Caller || s.TLS.Operator
+	need(!wants || s.TLS.Cert != "" && s.TLS.Key != "", "tls.cert", "is missing", "name the PEM files of certificate and key")
+	need(!s.TLS.Mesh || s.TLS.Authority != "", "tls.authority", "is missing", "name the PEM file of the entry VMs' authority")
 	_, ok := levels[s.Level]
 	need(ok, "level", fmt.Sprintf("%q is no level", s.Level), "use debug, info, warn or error")
 	return ps
--- a/internal/edge/call/hangup.go
+++ b/internal/edge/call/hangup.go
@@ -1,10 +1,13 @@
 package call
 
 import (
+	"crypto/tls"
 	"net"
 	"sync"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -18,6 +21,9 @@
 // being worked on. The HTTP library reads nothing meanwhile, so waiting work
 // would keep its place in the queue for a caller that is gone.
 func onHangup(c net.Conn, fn func()) (stop func()) {
+	if t, ok := c.(*tls.Conn); ok {
+		c = t.NetConn()
+	}
 	raw, ok := c.(syscall.Conn)
 	if !ok {
 		return func() {}
@@ -62,17 +68,12 @@
 	w.timer.Stop()
 }
 
-// hungUp peeks at the socket without taking bytes of a next request.
+// hungUp asks the kernel whether the other end has closed, which takes no bytes of
+// a next request and works under TLS too.
 func hungUp(c syscall.RawConn) (gone bool) {
 	err := c.Control(func(fd uintptr) {
-		var b [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		switch {
-		case err == nil:
-			gone = n == 0
-		case err != syscall.EAGAIN && err != syscall.EINTR:
-			gone = true
-		}
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		gone = err != nil || info.State != unix.BPF_TCP_ESTABLISHED
 	})
 	return gone || err != nil
 }
--- a/internal/edge/entry/daemon.go
+++ b/internal/edge/entry/daemon.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"log/slog"
@@ -18,6 +19,7 @@
 	"dahliawinch/internal/conf/keeper"
 	"dahliawinch/internal/conf/setup"
 	"dahliawinch/internal/edge/call"
+	"dahliawinch/internal/edge/certs"
 	"dahliawinch/internal/edge/oper"
 	"dahliawinch/internal/edge/wire"
 	"dahliawinch/internal/mesh/frame"
@@ -28,6 +30,8 @@
 )
 
 const (
+	// reloadEvery is how often rotated certificates are looked for.
+	reloadEvery = 5 * time.Second
 	// listEvery is how often the platform's list is fetched.
 	listEvery = time.Second
 	// closeWait bounds the end of the listeners after the drain.
@@ -41,6 +45,7 @@
 	meter  *meter.Meter
 	timers *timer.Service
 	pool   *wire.Pool
+	certs  *certs.Store
 	hub    *link.Hub
 	node   *flow.Node
 	keeper *keeper.Keeper
@@ -57,8 +62,18 @@
 	if _, err := rand.Read(secret); err != nil {
 		return nil, fmt.Errorf("make ticket secret: %w", err)
 	}
+	dial := link.Dialer(link.TCP)
+	if set.TLS.Cert != "" {
+		var err error
+		if d.certs, err = certs.Open(certs.Files{Cert: set.TLS.Cert, Key: set.TLS.Key, Authority: set.TLS.Authority}); err != nil {
+			return nil, fmt.Errorf("new daemon: %w", err)
+		}
+	}
+	if set.TLS.Mesh {
+		dial = d.dialTLS
+	}
 	hello := frame.Hello{VM: set.Mesh, Inc: inc, Domain: set.Domain}
-	d.hub = link.New(hello, link.TCP, func(from frame.Hello, m frame.Msg) { d.node.Receive(from, m) }, d.meter.Control, log)
+	d.hub = link.New(hello, dial, func(from frame.Hello, m frame.Msg) { d.node.Receive(from, m) }, d.meter.Control, log)
 	var err error
 	d.node, err = flow.New(ctx, flow.Config{
 		Self: set.Mesh, Domain: set.Domain, Inc: inc, Secret: secret, Policy: set.Policy, Memory: set.Memory,
@@ -71,15 +86,62 @@
 	d.keeper = keeper.New(ledger.NewClient(set.Log, set.Stream), d.timers, set.Retention.Std(), d.node.Apply, log)
 	d.node.Bind(d.keeper)
 	d.call = call.NewServer(d.node, log)
-	d.oper = oper.NewServer(d.node, d.keeper, d.meter)
+	d.oper = oper.NewServer(d.node, d.keeper, d.meter, set.Operators)
 	for i, a := range []netip.AddrPort{set.Mesh, set.Caller, set.Operator} {
 		if d.ends[i], err = net.Listen("tcp", a.String()); err != nil {
 			return nil, errors.Join(fmt.Errorf("listen: %w", err), d.unbind())
 		}
+		d.ends[i] = d.secure(i, d.ends[i])
 	}
 	return d, nil
 }
 
+// listeners in the order of ends.
+const (
+	endMesh = iota
+	endCaller
+	endOperator
+)
+
+// secure wraps a listener if the settings ask for TLS there.
+func (d *Daemon) secure(end int, l net.Listener) net.Listener {
+	t := d.set.TLS
+	switch {
+	case end == endMesh && t.Mesh:
+		return tls.NewListener(l, d.certs.Server(true))
+	case end == endCaller && t.Caller, end == endOperator && t.Operator:
+		return tls.NewListener(l, d.certs.Server(false))
+	default:
+		return l
+	}
+}
+
+// dialTLS opens a link with certificates on both sides.
+func (d *Daemon) dialTLS(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
+	c, err := link.TCP(ctx, to)
+	if err != nil {
+		return nil, fmt.Errorf("link: %w", err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, time.Second) // a peer may accept and then say nothing
+	defer cancel()
+	t := tls.Client(c, d.certs.Client(to.Addr().String()))
+	if err := t.HandshakeContext(ctx); err != nil {
+		return nil, errors.Join(fmt.Errorf("link to %s: %w", to, err), c.Close())
+	}
+	return t, nil
+}
+
+// reload takes over rotated certificates.
+func (d *Daemon) reload() {
+	changed, err := d.certs.Reload()
+	switch {
+	case err != nil:
+		d.log.Warn("certificates stay as they were", "err", err)
+	case changed:
+		d.log.Info("certificates taken over")
+	}
+}
+
 func (d *Daemon) unbind() (err error) {
 	for _, l := range d.ends {
 		if l != nil {
@@ -111,6 +173,9 @@
 	g.Go(func() error { return d.oper.Serve(d.ends[2]) })
 	g.Go(func() error { d.follow(gctx, roster.NewClient(d.set.List)); return nil })
 	d.timers.Every(gctx, d.keeper.RenewLook(), func() { go d.keeper.Renew(gctx) })
+	if d.certs != nil {
+		d.timers.Every(gctx, reloadEvery, d.reload)
+	}
 	d.node.Start()
 	d.log.Info("serving", "vm", d.set.Mesh, "domain", d.set.Domain, "callers", d.set.Caller, "operators", d.set.Operator)
 	g.Go(func() error {
--- a/internal/edge/oper/server.go
+++ b/internal/edge/oper/server.go
@@ -4,11 +4,15 @@
 
 import (
 	"context"
+	"crypto/subtle"
+	"encoding/base64"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"net"
 	"net/netip"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus/promhttp"
@@ -31,12 +35,14 @@
 	keeper  *keeper.Keeper
 	http    *fasthttp.Server
 	metrics fasthttp.RequestHandler
+	// operators are the key hashes by name; none means that anyone may come in.
+	operators map[string]string
 }
 
 // NewServer returns the operators' side of a node.
-func NewServer(node *flow.Node, k *keeper.Keeper, m *meter.Meter) *Server {
+func NewServer(node *flow.Node, k *keeper.Keeper, m *meter.Meter, operators map[string]string) *Server {
 	s := &Server{
-		node: node, keeper: k,
+		node: node, keeper: k, operators: operators,
 		metrics: fasthttpadaptor.NewFastHTTPHandler(promhttp.HandlerFor(m.Registry, promhttp.HandlerOpts{})),
 	}
 	s.http = &fasthttp.Server{
@@ -63,6 +69,10 @@
 }
 
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	author, ok := s.admit(ctx)
+	if !ok {
+		return
+	}
 	switch string(ctx.Method()) + " " + string(ctx.Path()) {
 	case "GET /health":
 		ctx.SetBodyString("ok\n")
@@ -75,10 +85,82 @@
 	case "GET /document":
 		s.document(ctx)
 	case "POST /document":
-		s.declare(ctx)
+		s.declare(ctx, author)
+	case "GET /history":
+		s.past(ctx, author)
+	case "GET /spread":
+		rev, _ := strconv.ParseUint(string(ctx.QueryArgs().Peek("rev")), 10, 64)
+		_, answer, rows := s.spread(rev)
+		reply(ctx, fasthttp.StatusOK, Reach{Answer: answer, Rows: rows})
 	default:
-		reply(ctx, fasthttp.StatusNotFound, Trouble{Error: "not served; use /health /ready /metrics /status /document"})
+		if s.console(ctx, author) {
+			return
+		}
+		reply(ctx, fasthttp.StatusNotFound, Trouble{Error: "not served; use / /health /ready /metrics /status /document /history /spread"})
+	}
+}
+
+// open are the paths that need no key: the platform's balancer and metrics ask them.
+var open = map[string]bool{"/health": true, "/ready": true, "/metrics": true}
+
+// admit finds the operator by name and key (HTTP basic authentication, which a
+// phone's browser asks for by itself). Without declared operators anyone may come
+// in and names themselves, which is for test deployments only.
+func (s *Server) admit(ctx *fasthttp.RequestCtx) (author string, ok bool) {
+	if open[string(ctx.Path())] {
+		return "", true
+	}
+	name, key, _ := basic(string(ctx.Request.Header.Peek(fasthttp.HeaderAuthorization)))
+	if len(s.operators) == 0 {
+		return name, true
+	}
+	hash, known := s.operators[name]
+	same := subtle.ConstantTimeCompare([]byte(hash), []byte(doc.Hash(key))) == 1
+	if known && same {
+		return name, true
+	}
+	ctx.Response.Header.Set(fasthttp.HeaderWWWAuthenticate, `Basic realm="dahliawinch"`)
+	reply(ctx, fasthttp.StatusUnauthorized, Trouble{Error: "name or key is wrong; nothing was done"})
+	return "", false
+}
+
+func basic(header string) (name, key string, ok bool) {
+	text, ok := strings.CutPrefix(header, "Basic ")
+	if !ok {
+		return "", "", false
+	}
+	raw, err := base64.StdEncoding.DecodeString(text)
+	if err != nil {
+		return "", "", false
 	}
+	return strings.Cut(string(raw), ":")
+}
+
+// Reach is how far a revision has come.
+type Reach struct {
+	Answer string   `json:"answer"`
+	Rows   []Spread `json:"rows"`
+}
+
+// Past is one revision of the history.
+type Past struct {
+	Rev    uint64          `json:"rev"`
+	Author string          `json:"author"`
+	Note   string          `json:"note,omitempty"`
+	Doc    json.RawMessage `json:"doc"`
+}
+
+// past lists the revisions as JSON for programs and as a page for browsers.
+func (s *Server) past(ctx *fasthttp.RequestCtx, author string) {
+	if strings.Contains(string(ctx.Request.Header.Peek(fasthttp.HeaderAccept)), "text/html") {
+		s.console(ctx, author)
+		return
+	}
+	list := []Past{}
+	for _, r := range s.keeper.History() {
+		list = append(list, Past{r.Rev, r.Author, r.Note, r.Doc})
+	}
+	reply(ctx, fasthttp.StatusOK, list)
 }
 
 // Trouble is the body of an error.
@@ -194,13 +276,16 @@
 	Detail  string `json:"detail,omitempty"`
 }
 
-func (s *Server) declare(ctx *fasthttp.RequestCtx) {
+func (s *Server) declare(ctx *fasthttp.RequestCtx, author string) {
 	var d Declaration
 	if err := doc.Strict(ctx.PostBody(), &d); err != nil {
 		p := doc.JSONProblem("body", err)
 		reply(ctx, fasthttp.StatusBadRequest, Trouble{Error: p.String(), Problems: []doc.Problem{p}})
 		return
 	}
+	if author != "" {
+		d.Author = author // who holds the key, whatever the body says
+	}
 	if d.Author == "" {
 		reply(ctx, fasthttp.StatusBadRequest, Trouble{Error: "author: is missing; say who declares"})
 		return
--- a/internal/tool/local/local.go
+++ b/internal/tool/local/local.go
@@ -32,6 +32,8 @@
 	Lag       time.Duration
 	Stream    string
 	Policy    string
+	Operators map[string]string // key hashes by name
+	TLS       setup.TLS
 	Log       fakes.LogRules
 }
 
@@ -167,6 +169,7 @@
 func (d *Deployment) Boot(mesh netip.AddrPort, domain string) (*VM, error) {
 	set := setup.Default()
 	set.Domain, set.Stream, set.Mesh, set.Policy = domain, d.Stream, mesh, d.Policy
+	set.Operators, set.TLS = d.Operators, d.TLS
 	set.Log, set.List, set.Linger = d.LogAt, d.ListAt, doc.Span(500*time.Millisecond)
 	set.Retention = doc.Span(max(time.Minute, d.Log.Keep))
 	var err error
--- a/internal/tool/local/local_test.go
+++ b/internal/tool/local/local_test.go
@@ -26,9 +26,15 @@
 
 // up starts a small deployment over real sockets.
 func up(t *testing.T, j *judge.Judge) *Deployment {
+	t.Helper()
+	return upWith(t, j, func(*Shape) {})
+}
+
+func upWith(t *testing.T, j *judge.Judge, change func(*Shape)) *Deployment {
 	t.Helper()
 	shape := Brief()
 	shape.Domains, shape.VMs, shape.Endpoints = 2, 4, 6
+	change(&shape)
 	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
 	t.Cleanup(cancel)
 	d, err := Start(context.Background(), shape, j, slog.New(slog.NewTextHandler(io.Discard, nil)))
