Control that stays flat: few far links, smaller heartbeats, and a measure of it

Cause: every VM sent heartbeats to every other; at 400 VMs that would be about 1,300 messages a second for each. A daemon that was ended while it started served for ever (found when a port was taken: the test binary hung for ten minutes).

Closing a daemon closes its listeners itself; ports for test deployments are taken below the range of outgoing connections.

--- a/internal/base/meter/meter.go
+++ b/internal/base/meter/meter.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 
 	"dahliawinch/internal/task/job"
 )
@@ -61,6 +62,7 @@
 // New returns a meter with a registry of its own.
 func New() *Meter {
 	m := &Meter{Registry: prometheus.NewRegistry(), tenants: map[string]bool{}}
+	m.Registry.MustRegister(collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), collectors.NewGoCollector())
 	times := prometheus.ExponentialBuckets(0.001, 2, 18)
 	byTenant := []string{"tenant", "class"}
 	hist := func(name, help string, buckets []float64) *prometheus.HistogramVec {
--- a/internal/cli/cmds/cmd_local.go
+++ b/internal/cli/cmds/cmd_local.go
@@ -17,7 +17,7 @@
 	long: "Run the platform's stand-ins, endpoints and entry VMs in one process on loopback,\ndeclare the demonstration document, print every address as key=value and stay up.\nThe caller keys are demo-relief, demo-crew and demo-imprint.",
 	flags: func(f *pflag.FlagSet) {
 		f.Int("domains", 4, "failure domains")
-		f.Int("vms", 8, "entry VMs")
+		f.Int("vms", 8, "entry VMs; 0 for the platform and endpoints only")
 		f.Int("endpoints", 50, "endpoints")
 		f.Int("slots", 8, "slots of an endpoint")
 		f.Bool("verbose", false, "print the daemons' logs")
@@ -38,8 +38,10 @@
 		if err != nil {
 			return failed(fmt.Errorf("local: %w", err))
 		}
-		if err := d.Declare(first, mix.Document()); err != nil {
-			return failed(fmt.Errorf("local: %w", err))
+		if len(d.VMs) > 0 {
+			if err := d.Declare(first, mix.Document()); err != nil {
+				return failed(fmt.Errorf("local: %w", err))
+			}
 		}
 		out := c.OutOrStdout()
 		fmt.Fprintf(out, "log=%s\nlist=%s\nstream=%s\n", d.LogAt, d.ListAt, d.Stream)
--- a/internal/cli/cmds/command.go
+++ b/internal/cli/cmds/command.go
@@ -26,7 +26,7 @@
 
 // commands in the order of the help text.
 var commands = []command{
-	cmdDemo, cmdLocal, cmdEntry, cmdCheck, cmdLoad,
+	cmdDemo, cmdLocal, cmdEntry, cmdCheck, cmdLoad, cmdBench,
 	cmdDeclare, cmdForm, cmdDiff, cmdHistory, cmdWatch, cmdKeys, cmdVersion,
 }
 
--- a/internal/edge/entry/daemon.go
+++ b/internal/edge/entry/daemon.go
@@ -10,6 +10,7 @@
 	"log/slog"
 	"net"
 	"net/netip"
+	"slices"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -162,15 +163,13 @@
 func (d *Daemon) Run(ctx, leave context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	for _, p := range d.set.Peers {
-		d.node.View().Learn(time.Now(), p, "")
-	}
+	d.node.Learn(d.withPeers(roster.List{}))
 	g, gctx := errgroup.WithContext(ctx)
 	g.Go(func() error { d.timers.Run(gctx); return nil })
-	g.Go(func() error { return d.hub.Run(gctx, d.ends[0]) })
+	g.Go(func() error { return d.hub.Run(gctx, d.ends[endMesh]) })
 	g.Go(func() error { d.keeper.Run(gctx); return nil })
-	g.Go(func() error { return d.call.Serve(d.ends[1]) })
-	g.Go(func() error { return d.oper.Serve(d.ends[2]) })
+	g.Go(func() error { return unlessEnded(gctx, d.call.Serve(d.ends[endCaller])) })
+	g.Go(func() error { return unlessEnded(gctx, d.oper.Serve(d.ends[endOperator])) })
 	g.Go(func() error { d.follow(gctx, roster.NewClient(d.set.List)); return nil })
 	d.timers.Every(gctx, d.keeper.RenewLook(), func() { go d.keeper.Renew(gctx) })
 	if d.certs != nil {
@@ -227,6 +226,27 @@
 	if err := errors.Join(d.call.Shutdown(ctx), d.oper.Shutdown(ctx)); err != nil {
 		d.log.Warn("close", "err", err)
 	}
+	// The library's shutdown does nothing for a server that has not begun to accept; a
+	// daemon that ends while it starts would then serve for ever.
+	_ = d.unbind()
+}
+
+// withPeers adds the VMs that the settings name, which the list may not know yet.
+func (d *Daemon) withPeers(l roster.List) roster.List {
+	for _, p := range d.set.Peers {
+		if !slices.ContainsFunc(l.VMs, func(v roster.VM) bool { return v.Mesh == p }) {
+			l.VMs = append(l.VMs, roster.VM{Mesh: p})
+		}
+	}
+	return l
+}
+
+// unlessEnded drops the error of a listener that was closed because the daemon ends.
+func unlessEnded(ctx context.Context, err error) error {
+	if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return err
 }
 
 // follow keeps the VM's copy of the platform's list fresh; while the list can't be
@@ -240,7 +260,7 @@
 		switch {
 		case err == nil:
 			down = false
-			d.node.Learn(l)
+			d.node.Learn(d.withPeers(l))
 		case !down && ctx.Err() == nil:
 			down = true
 			d.log.Warn("list unreachable", "err", err)
--- a/internal/mesh/frame/frame.go
+++ b/internal/mesh/frame/frame.go
@@ -1,6 +1,7 @@
 package frame
 
 import (
+	"bytes"
 	"encoding/binary"
 	"errors"
 	"fmt"
@@ -24,10 +25,15 @@
 // Append encodes a message behind buf: four bytes of length, one of kind, then
 // msgpack.
 func Append(buf []byte, m Msg) ([]byte, error) {
-	body, err := msgpack.Marshal(m)
-	if err != nil {
+	enc := msgpack.GetEncoder()
+	defer msgpack.PutEncoder(enc)
+	var out bytes.Buffer
+	enc.Reset(&out)
+	enc.UseCompactInts(true) // most numbers of a heartbeat are small
+	if err := enc.Encode(m); err != nil {
 		return buf, fmt.Errorf("encode %T: %w", m, err)
 	}
+	body := out.Bytes()
 	if len(body) > Most {
 		return buf, fmt.Errorf("encode %T of %d bytes: %w", m, len(body), ErrSize)
 	}
--- a/internal/mesh/link/hub.go
+++ b/internal/mesh/link/hub.go
@@ -118,23 +118,47 @@
 	if err != nil {
 		return fmt.Errorf("cast to %s: %w", to, err)
 	}
-	h.mu.Lock()
-	ctx := h.ctx
-	if ctx == nil {
-		h.mu.Unlock()
+	s := h.sender(to)
+	if s == nil {
 		return fmt.Errorf("cast to %s: %w", to, ErrFull)
 	}
+	h.count(frame.Purpose(m), "out", len(data))
+	return s.add(data, m)
+}
+
+// sender returns the sender to a VM; nil before the hub runs.
+func (h *Hub) sender(to netip.AddrPort) *sender {
+	h.mu.Lock()
+	defer h.mu.Unlock()
 	s := h.out[to]
-	if s == nil {
+	if s == nil && h.ctx != nil {
 		s = newSender(h, to)
 		h.out[to] = s
-		go s.run(ctx)
+		go s.run(h.ctx)
 	}
-	h.mu.Unlock()
-	h.count(frame.Purpose(m), "out", len(data))
-	return s.add(data, m)
+	return s
+}
+
+// Reach implements flow.Mesh.
+func (h *Hub) Reach(ctx context.Context, vm netip.AddrPort) (uint64, error) {
+	s := h.sender(vm)
+	for s != nil {
+		if inc, ok := s.peer(); ok {
+			return inc, nil
+		}
+		s.poke()
+		select {
+		case <-ctx.Done():
+			return 0, fmt.Errorf("reach %s: %w", vm, ctx.Err())
+		case <-time.After(reachLook):
+		}
+	}
+	return 0, fmt.Errorf("reach %s: %w", vm, ErrFull)
 }
 
+// reachLook is how often Reach looks whether the link is up.
+const reachLook = 5 * time.Millisecond
+
 // Flush waits until the peers that have a connection have read what was cast to
 // them, so that a process that ends takes no result with it.
 func (h *Hub) Flush(ctx context.Context) error {
--- a/internal/mesh/link/sender.go
+++ b/internal/mesh/link/sender.go
@@ -205,6 +205,13 @@
 	}
 }
 
+// peer returns the incarnation at the other end of an open connection.
+func (s *sender) peer() (inc uint64, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.inc, s.online
+}
+
 // unread counts what a connected peer has not read yet.
 func (s *sender) unread() int {
 	s.mu.Lock()
--- a/internal/mesh/view/member.go
+++ b/internal/mesh/view/member.go
@@ -31,6 +31,7 @@
 	Domain string
 	Inc    uint64
 	State  State
+	Picked bool // this VM keeps a link to it even before it speaks
 	Heard  time.Time
 	Beat   frame.Beat
 	Skew   time.Duration // least seen difference of this clock minus the member's
--- a/internal/mesh/view/view.go
+++ b/internal/mesh/view/view.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"dahliawinch/internal/mesh/frame"
 )
 
@@ -18,6 +20,9 @@
 	// Far is how many times longer heartbeats and patience are between failure
 	// domains: there are many more such pairs, and none shares slots.
 	Far = 3
+	// FarLinks is how many VMs of other failure domains a VM keeps links to by its
+	// own choice; about as many choose it.
+	FarLinks = 6
 	// suspectAfter is the silence after which a member gets no more work.
 	suspectAfter = 5 * Period
 	// goneAfter is the silence after which it is gone if a witness agrees.
@@ -89,30 +94,81 @@
 	return vms
 }
 
-// Joined reports whether every listed VM was heard, or had its time to be: before
-// that, this VM doesn't know whom to hand a ticket's submission to.
+// Joined reports whether every VM that this one keeps a link to was heard, or had
+// its time to be.
 func (v *View) Joined(now time.Time) bool {
 	for _, m := range v.Members() {
-		if m.State == Listed && now.Sub(m.Heard) < aloneAfter {
+		if m.Picked && m.State == Listed && now.Sub(m.Heard) < aloneAfter {
 			return false
 		}
 	}
 	return true
 }
 
-// Learn adds a VM from settings or the list.
-func (v *View) Learn(now time.Time, vm netip.AddrPort, domain string) {
-	if vm == v.self {
-		return
-	}
+// Named is a VM as settings or the platform's list name it.
+type Named struct {
+	VM     netip.AddrPort
+	Domain string
+}
+
+// Learn adds VMs from settings or the list.
+func (v *View) Learn(now time.Time, vms ...Named) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if v.all[vm] == nil {
-		v.all[vm] = &Member{VM: vm, Domain: domain, Heard: now}
+	added := false
+	for _, n := range vms {
+		if n.VM == v.self || v.all[n.VM] != nil {
+			continue
+		}
+		v.all[n.VM] = &Member{VM: n.VM, Domain: n.Domain, Heard: now}
+		added = true
+	}
+	if added {
+		v.pick()
 		v.publish()
 	}
 }
 
+// pick chooses the links: all VMs of the own failure domain, and a few of the others
+// by rendezvous hashing. Links to all others would cost messages that grow with the
+// number of VMs; news travels over the few in some hops. The caller holds the lock.
+func (v *View) pick() {
+	type ranked struct {
+		vm netip.AddrPort
+		w  uint64
+	}
+	var far []ranked
+	for vm, m := range v.all {
+		if m.Domain != v.domain {
+			far = append(far, ranked{vm, rank(v.self, vm)})
+		}
+	}
+	slices.SortFunc(far, func(a, b ranked) int { return cmp.Compare(b.w, a.w) })
+	picked := map[netip.AddrPort]bool{}
+	for _, f := range far[:min(len(far), FarLinks)] {
+		picked[f.vm] = true
+	}
+	for vm, m := range v.all {
+		if want := m.Domain == v.domain || picked[vm]; want != m.Picked {
+			c := *m
+			c.Picked = want
+			v.all[vm] = &c
+		}
+	}
+}
+
+// rank is the same for both VMs of a pair, so that they mostly pick each other.
+func rank(a, b netip.AddrPort) uint64 {
+	if b.Compare(a) < 0 {
+		a, b = b, a
+	}
+	return xxhash.Sum64String(a.String() + "|" + b.String())
+}
+
+// Speaks reports whether heartbeats go to a member: to those picked, and to those
+// that picked this VM and are heard.
+func (m *Member) Speaks() bool { return m.Picked || m.State == Alive || m.State == Suspect }
+
 // Forget drops members that neither settings nor list name and that are not
 // there, so that replaced VMs don't pile up.
 func (v *View) Forget(now time.Time, named func(netip.AddrPort) bool) {
@@ -123,6 +179,7 @@
 			delete(v.all, vm)
 		}
 	}
+	v.pick()
 	v.publish()
 }
 
@@ -133,12 +190,12 @@
 	defer v.mu.Unlock()
 	was := v.all[from.VM]
 	if was == nil {
-		was = &Member{VM: from.VM, Domain: from.Domain}
+		was = &Member{VM: from.VM, Domain: from.Domain, Picked: from.Domain == v.domain}
 	}
 	if from.Inc < was.Inc {
 		return Change{}, false
 	}
-	m := &Member{VM: from.VM, Domain: from.Domain, Inc: from.Inc, State: Alive, Heard: now, Beat: *b}
+	m := &Member{VM: from.VM, Domain: from.Domain, Inc: from.Inc, State: Alive, Picked: was.Picked || from.Domain == v.domain, Heard: now, Beat: *b}
 	m.Skew = now.Sub(b.At)
 	if was.Inc == m.Inc {
 		m.Skew = min(m.Skew, was.Skew+skewDrift)
--- a/internal/mesh/view/view_test.go
+++ b/internal/mesh/view/view_test.go
@@ -1,6 +1,7 @@
 package view
 
 import (
+	"fmt"
 	"net/netip"
 	"testing"
 	"time"
@@ -76,6 +77,37 @@
 	is.Equal(v.Find(vm(1)).State, Gone)
 }
 
+// Symptom: control messages grow with every failure domain that is added. Sequence:
+// 400 VMs in 45 domains. Cause: each VM keeps links to all.
+func TestLinksStayFew(t *testing.T) {
+	is := is.New(t)
+	const vms, domains = 400, 45
+	at := func(i int) netip.AddrPort {
+		return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 1, byte(i / 200), byte(i % 200)}), 7000)
+	}
+	var all []Named
+	for i := range vms {
+		all = append(all, Named{at(i), fmt.Sprint(i % domains)})
+	}
+	degree := map[netip.AddrPort]int{}
+	for i := range vms {
+		v := New(at(i), fmt.Sprint(i%domains), began)
+		v.Learn(began, all...)
+		for _, m := range v.Members() {
+			if m.Picked && m.Domain != fmt.Sprint(i%domains) {
+				degree[at(i)]++
+				degree[m.VM]++
+			}
+		}
+	}
+	most := 0
+	for _, d := range degree {
+		most = max(most, d)
+	}
+	is.Equal(len(degree), vms)
+	is.True(most <= 4*FarLinks)
+}
+
 func TestPauseOfThisVMBlamesNobody(t *testing.T) {
 	is := is.New(t)
 	v := New(vm(0), "a", began)
--- a/internal/task/flow/beat.go
+++ b/internal/task/flow/beat.go
@@ -18,6 +18,9 @@
 	b := n.pulse(now)
 	round := n.beats.Add(1)
 	for i, m := range n.view.Members() {
+		if !m.Speaks() {
+			continue
+		}
 		if m.Domain == n.cfg.Domain || (round+int64(i))%view.Far == 0 || b.Leaving {
 			n.cast(m, b)
 		}
--- a/internal/task/flow/handoff.go
+++ b/internal/task/flow/handoff.go
@@ -208,8 +208,7 @@
 // address comes from outside with the ticket, so only members of the view count.
 func (n *Node) hand(ctx context.Context, vm netip.AddrPort, inc uint64, s *frame.Submit) *job.Answer {
 	gone := job.Doubt(job.GoneTicket, "the VM that issued the ticket can't be reached; nothing was started here; take a new ticket once you know that the old one did not run")
-	m := n.view.Find(vm)
-	if m == nil || m.Inc != inc || (!m.Usable() && m.State != view.Left) {
+	if !n.reachable(ctx, vm, inc) {
 		return gone
 	}
 	c := &call{peer: vm, inc: inc, answer: make(chan *job.Answer, 1)}
@@ -236,6 +235,28 @@
 	}
 }
 
+// reachable reports whether an incarnation of a listed VM can be talked to. Most VMs
+// of other failure domains keep no link to this one and are asked now.
+func (n *Node) reachable(ctx context.Context, vm netip.AddrPort, inc uint64) bool {
+	m := n.view.Find(vm)
+	switch {
+	case m == nil:
+		return false
+	case m.State == view.Alive || m.State == view.Left:
+		return m.Inc == inc
+	case m.State == view.Listed:
+		ctx, cancel := context.WithTimeout(ctx, reachWait)
+		defer cancel()
+		there, err := n.parts.Mesh.Reach(ctx, vm)
+		return err == nil && there == inc
+	default:
+		return false
+	}
+}
+
+// reachWait bounds the opening of a link for one submission.
+const reachWait = time.Second
+
 func (n *Node) loseCalls(vm netip.AddrPort, inc uint64) {
 	n.callMu.Lock()
 	defer n.callMu.Unlock()
--- a/internal/task/flow/node.go
+++ b/internal/task/flow/node.go
@@ -147,11 +147,16 @@
 // Learn takes over the platform's list.
 func (n *Node) Learn(l roster.List) {
 	now := n.now()
+	var vms []view.Named
 	for _, v := range l.VMs {
 		if !v.Leaving {
-			n.view.Learn(now, v.Mesh, v.Domain)
+			vms = append(vms, view.Named{VM: v.Mesh, Domain: v.Domain})
 		}
 	}
+	n.view.Learn(now, vms...)
+	n.view.Forget(now, func(vm netip.AddrPort) bool {
+		return slices.ContainsFunc(vms, func(v view.Named) bool { return v.VM == vm })
+	})
 	n.listMu.Lock()
 	n.list = l
 	for _, e := range l.Endpoints {
--- a/internal/task/flow/parts.go
+++ b/internal/task/flow/parts.go
@@ -55,6 +55,8 @@
 // once and in order, or that incarnation is reported gone.
 type Mesh interface {
 	Cast(to netip.AddrPort, m frame.Msg) error
+	// Reach makes sure of a link to a VM and returns the incarnation there.
+	Reach(ctx context.Context, vm netip.AddrPort) (inc uint64, err error)
 }
 
 // ErrNoLink is returned by a Mesh that could not take a message; nothing was sent.
--- a/internal/tool/local/local.go
+++ b/internal/tool/local/local.go
@@ -9,6 +9,8 @@
 	"log/slog"
 	"net"
 	"net/netip"
+	"os"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -88,16 +90,34 @@
 	return l, l.Addr().(*net.TCPAddr).AddrPort(), nil
 }
 
-// spare finds a free port by taking and leaving it.
+// Ports for daemons are taken below those that the system gives to outgoing
+// connections: a port found free up there may be used by a connection a moment later,
+// and the daemon would fail to listen.
+const (
+	lowPort = 10_000
+	ports   = 20_000
+)
+
+var nextPort atomic.Uint32
+
+func init() { nextPort.Store(uint32(os.Getpid()*61) % ports) }
+
+// spare finds a free port.
 func spare() (netip.AddrPort, error) {
-	l, at, err := loopback()
-	if err != nil {
-		return at, err
-	}
-	if err := l.Close(); err != nil {
-		return at, fmt.Errorf("free port: %w", err)
+	var last error
+	for range 100 {
+		at := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(lowPort+nextPort.Add(1)%ports))
+		l, err := net.Listen("tcp", at.String())
+		if err != nil {
+			last = err
+			continue
+		}
+		if err := l.Close(); err != nil {
+			return at, fmt.Errorf("free port: %w", err)
+		}
+		return at, nil
 	}
-	return at, nil
+	return netip.AddrPort{}, fmt.Errorf("free port: %w", last)
 }
 
 // Start brings a deployment up.
--- a/internal/tool/scene/net.go
+++ b/internal/tool/scene/net.go
@@ -226,6 +226,16 @@
 	}
 }
 
+// Reach implements flow.Mesh.
+func (p *post) Reach(_ context.Context, vm netip.AddrPort) (uint64, error) {
+	time.Sleep(2 * between)
+	v := p.s.at(vm)
+	if v == nil || v.dead.Load() || p.s.cut(p.from.Domain, v.Domain) {
+		return 0, flow.ErrNoLink
+	}
+	return v.Inc, nil
+}
+
 // VM is one entry VM of the scene.
 type VM struct {
 	Mesh   netip.AddrPort
