--- a/internal/cli/cmds/command.go
+++ b/internal/cli/cmds/command.go
@@ -29,7 +29,7 @@
 // commands in the order of the help text.
 var commands = []command{
 	cmdDemo, cmdLocal, cmdEntry, cmdCheck, cmdLoad, cmdBench,
-	cmdDeclare, cmdForm, cmdDiff, cmdHistory, cmdWatch, cmdKeys, cmdVersion,
+	cmdDeclare, cmdForm, cmdDiff, cmdHistory, cmdWatch, cmdKeys, cmdMan, cmdVersion,
 }
 
 // code is an error that ends the process with an exit code of its own.
