--- a/internal/edge/oper/server.go
+++ b/internal/edge/oper/server.go
@@ -4,13 +4,10 @@
 
 import (
 	"context"
-	"crypto/subtle"
-	"encoding/base64"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"net"
-	"net/netip"
 	"strconv"
 	"strings"
 	"time"
@@ -100,42 +97,6 @@
 	}
 }
 
-// open are the paths that need no key: the platform's balancer and metrics ask them.
-var open = map[string]bool{"/health": true, "/ready": true, "/metrics": true}
-
-// admit finds the operator by name and key (HTTP basic authentication, which a
-// phone's browser asks for by itself). Without declared operators anyone may come
-// in and names themselves, which is for test deployments only.
-func (s *Server) admit(ctx *fasthttp.RequestCtx) (author string, ok bool) {
-	if open[string(ctx.Path())] {
-		return "", true
-	}
-	name, key, _ := basic(string(ctx.Request.Header.Peek(fasthttp.HeaderAuthorization)))
-	if len(s.operators) == 0 {
-		return name, true
-	}
-	hash, known := s.operators[name]
-	same := subtle.ConstantTimeCompare([]byte(hash), []byte(doc.Hash(key))) == 1
-	if known && same {
-		return name, true
-	}
-	ctx.Response.Header.Set(fasthttp.HeaderWWWAuthenticate, `Basic realm="dahliawinch"`)
-	reply(ctx, fasthttp.StatusUnauthorized, Trouble{Error: "name or key is wrong; nothing was done"})
-	return "", false
-}
-
-func basic(header string) (name, key string, ok bool) {
-	text, ok := strings.CutPrefix(header, "Basic ")
-	if !ok {
-		return "", "", false
-	}
-	raw, err := base64.StdEncoding.DecodeString(text)
-	if err != nil {
-		return "", "", false
-	}
-	return strings.Cut(string(raw), ":")
-}
-
 // Reach is how far a revision has come.
 type Reach struct {
 	Answer string   `json:"answer"`
@@ -195,54 +156,6 @@
 	}
 }
 
-// Status is what a VM says of itself and of the others.
-type Status struct {
-	VM       netip.AddrPort `json:"vm"`
-	Domain   string         `json:"domain"`
-	Inc      uint64         `json:"inc"`
-	Rev      uint64         `json:"rev"`
-	Since    time.Time      `json:"since,omitzero"`
-	Author   string         `json:"author,omitempty"`
-	Sure     bool           `json:"sure"`
-	Draining bool           `json:"draining"`
-	Active   int            `json:"active"`
-	Waiting  int            `json:"waiting"`
-	Slots    int            `json:"slots"`
-	Free     int            `json:"free"`
-	Out      int            `json:"out"`
-	Members  []Member       `json:"members"`
-}
-
-// Member is another VM as this one sees it.
-type Member struct {
-	VM     netip.AddrPort `json:"vm"`
-	Domain string         `json:"domain"`
-	State  string         `json:"state"`
-	Inc    uint64         `json:"inc"`
-	Rev    uint64         `json:"rev"`
-	Heard  doc.Span       `json:"heard"` // how long ago
-	Free   int            `json:"free"`
-}
-
-func (s *Server) status() Status {
-	st := s.node.Stats()
-	out := Status{
-		VM: st.VM, Domain: st.Domain, Inc: st.Inc, Sure: s.keeper.Sure(), Draining: s.node.Draining(),
-		Active: s.node.Active(), Waiting: s.node.Waiting(), Slots: st.Slots, Free: st.Free, Out: st.Out,
-		Members: []Member{},
-	}
-	if r, since, ok := s.node.InForce(); ok {
-		out.Rev, out.Since, out.Author = r.Rev, since, r.Author
-	}
-	for _, m := range s.node.View().Members() {
-		out.Members = append(out.Members, Member{
-			VM: m.VM, Domain: m.Domain, State: m.State.String(), Inc: m.Inc, Rev: m.Beat.Rev,
-			Heard: doc.Span(st.Now.Sub(m.Heard).Round(time.Millisecond)), Free: m.Beat.Room.Free,
-		})
-	}
-	return out
-}
-
 // Document is the revision in force.
 type Document struct {
 	Rev    uint64          `json:"rev"`
--- /dev/null
+++ b/internal/edge/oper/status.go
@@ -0,0 +1,56 @@
+package oper
+
+import (
+	"net/netip"
+	"time"
+
+	"dahliawinch/internal/conf/doc"
+)
+
+// Status is what a VM says of itself and of the others.
+type Status struct {
+	VM       netip.AddrPort `json:"vm"`
+	Domain   string         `json:"domain"`
+	Inc      uint64         `json:"inc"`
+	Rev      uint64         `json:"rev"`
+	Since    time.Time      `json:"since,omitzero"`
+	Author   string         `json:"author,omitempty"`
+	Sure     bool           `json:"sure"`
+	Draining bool           `json:"draining"`
+	Active   int            `json:"active"`
+	Waiting  int            `json:"waiting"`
+	Slots    int            `json:"slots"`
+	Free     int            `json:"free"`
+	Out      int            `json:"out"`
+	Members  []Member       `json:"members"`
+}
+
+// Member is another VM as this one sees it.
+type Member struct {
+	VM     netip.AddrPort `json:"vm"`
+	Domain string         `json:"domain"`
+	State  string         `json:"state"`
+	Inc    uint64         `json:"inc"`
+	Rev    uint64         `json:"rev"`
+	Heard  doc.Span       `json:"heard"` // how long ago
+	Free   int            `json:"free"`
+}
+
+func (s *Server) status() Status {
+	st := s.node.Stats()
+	out := Status{
+		VM: st.VM, Domain: st.Domain, Inc: st.Inc, Sure: s.keeper.Sure(), Draining: s.node.Draining(),
+		Active: s.node.Active(), Waiting: s.node.Waiting(), Slots: st.Slots, Free: st.Free, Out: st.Out,
+		Members: []Member{},
+	}
+	if r, since, ok := s.node.InForce(); ok {
+		out.Rev, out.Since, out.Author = r.Rev, since, r.Author
+	}
+	for _, m := range s.node.View().Members() {
+		out.Members = append(out.Members, Member{
+			VM: m.VM, Domain: m.Domain, State: m.State.String(), Inc: m.Inc, Rev: m.Beat.Rev,
+			Heard: doc.Span(st.Now.Sub(m.Heard).Round(time.Millisecond)), Free: m.Beat.Room.Free,
+		})
+	}
+	return out
+}
--- a/internal/task/flow/spill.go
+++ b/internal/task/flow/spill.go
@@ -8,7 +8,6 @@
 	"dahliawinch/internal/mesh/frame"
 	"dahliawinch/internal/mesh/view"
 	"dahliawinch/internal/task/job"
-	"dahliawinch/internal/task/learn"
 )
 
 const (
@@ -188,101 +187,6 @@
 	}
 }
 
-// guest is one task that a peer gave.
-type guest struct {
-	n     *Node
-	batch *batch
-	task  frame.Task
-}
-
-// batch collects the ended tasks of one job in one group, so that they go back in
-// one message: the giver can't answer before the last of them anyway.
-type batch struct {
-	to    netip.AddrPort
-	group uint64
-	open  int
-	ended []frame.Ended
-}
-
-// receiveGive starts what it has slots for at once and gives back the others.
-func (n *Node) receiveGive(from frame.Hello, g *frame.Give) {
-	now := n.now()
-	took := 0
-	if m := n.view.Find(from.VM); m == nil || m.Inc != from.Inc || m.Age(now, g.At) < staleGive {
-		took = n.takeIn(from, g, now)
-	}
-	if took < len(g.Tasks) { // silence means that all were taken
-		n.reply(from.VM, &frame.Took{Group: g.Group, N: took, Room: n.room(n.now())})
-	}
-}
-
-func (n *Node) takeIn(from frame.Hello, g *frame.Give, now time.Time) (took int) {
-	c := n.conf.Load()
-	if c == nil || n.draining.Load() {
-		return 0
-	}
-	batches := map[uint64]*batch{}
-	var tries []*try
-	for _, t := range g.Tasks {
-		class, ok := c.doc.Classes[t.Class]
-		limit, _ := n.table.Slots(now)
-		if !ok || t.Left <= 0 {
-			break
-		}
-		ep := n.table.Acquire(now, t.Task.Need, n.keep(class.Band, limit))
-		if ep == nil {
-			break
-		}
-		b := batches[t.Job]
-		if b == nil {
-			b = &batch{to: from.VM, group: g.Group}
-			batches[t.Job] = b
-		}
-		b.open++
-		tries = append(tries, &try{
-			n: n, ep: ep, task: &t.Task, key: learn.Key{Tenant: t.Tenant, Kind: t.Kind}, band: class.Band,
-			due: now.Add(t.Left), owner: &guest{n: n, batch: b, task: t},
-		})
-	}
-	for _, t := range tries { // only now: every batch must know its size first
-		t.launch()
-	}
-	return len(tries)
-}
-
-func (g *guest) begin() bool { return true }
-
-func (g *guest) ran(body []byte, _ time.Duration) { g.end(frame.Ran, body, "") }
-
-func (g *guest) ranBadly(detail string) { g.end(frame.RanBadly, nil, detail) }
-
-func (g *guest) lost(detail string) { g.end(frame.Uncertain, nil, detail) }
-
-func (g *guest) notRun(_ bool, _ job.Reason, detail string) { g.end(frame.NotRun, nil, detail) }
-
-// end notes the task's fate. A failure goes back at once, since it ends the job.
-func (g *guest) end(f frame.Fate, body []byte, detail string) {
-	b := g.batch
-	g.n.guestMu.Lock()
-	b.open--
-	b.ended = append(b.ended, frame.Ended{Job: g.task.Job, Index: g.task.Index, Fate: f, Body: body, Detail: detail})
-	var send []frame.Ended
-	if b.open == 0 || f != frame.Ran {
-		send, b.ended = b.ended, nil
-	}
-	g.n.guestMu.Unlock()
-	if len(send) > 0 {
-		g.n.reply(b.to, &frame.Back{Group: b.group, Ended: send, Room: g.n.room(g.n.now())})
-	}
-}
-
-func (n *Node) reply(to netip.AddrPort, m frame.Msg) {
-	n.parts.Meter.Waste(meterForward, 1)
-	if err := n.parts.Mesh.Cast(to, m); err != nil {
-		n.parts.Log.Warn("no way back", "to", to, "msg", frame.Purpose(m), "err", err)
-	}
-}
-
 // receiveTook queues again what the peer did not take.
 func (n *Node) receiveTook(from frame.Hello, t *frame.Took) {
 	n.view.Load(from.VM, t.Room)
