--- a/winch/example_test.go
+++ b/winch/example_test.go
@@ -139,7 +139,7 @@
 }
 
 func ExampleNewView() {
-	at := func(s string) netip.AddrPort { return netip.MustParseAddrPort(s) }
+	at := netip.MustParseAddrPort
 	v := winch.NewView(at("127.0.0.1:1"), "a", start)
 	v.Hear(start, winch.Hello{VM: at("127.0.0.1:2"), Inc: 1, Domain: "a"}, &winch.Beat{At: start})
 	fmt.Println(v.Members()[0].State)
