--- a/internal/edge/entry/daemon.go
+++ b/internal/edge/entry/daemon.go
@@ -210,9 +210,9 @@
 	if err := d.node.Drain(ctx); err != nil {
 		d.log.Warn("drain", "err", err)
 	}
-	ctx, cancel := context.WithTimeout(ctx, closeWait)
+	short, cancel := context.WithTimeout(ctx, closeWait)
 	defer cancel()
-	if err := d.hub.Flush(ctx); err != nil {
+	if err := d.hub.Flush(short); err != nil {
 		d.log.Warn("drain", "err", err)
 	}
 }
