--- a/internal/cli/cmds/cmd_entry.go
+++ b/internal/cli/cmds/cmd_entry.go
@@ -15,7 +15,7 @@
 
 var cmdEntry = command{
 	use: "entry [SETTINGS.json]", short: "Run the daemon of one entry VM",
-	long:  "Run the daemon of one entry VM with the settings of a JSON file; every setting is\nalso a flag, and a flag goes before the file. SIGTERM drains: what is in the house\nis finished and nothing is cut. A second signal ends at once.",
+	long:  "Run the daemon of one entry VM with the settings of a JSON file; every setting is\nalso a flag, and a flag goes before the file. SIGTERM drains: work in progress\nis finished and nothing is cut. A second signal ends at once.",
 	args:  cobra.MaximumNArgs(1),
 	flags: settingFlags,
 	action: func(c *cobra.Command, args []string) error {
--- a/internal/edge/entry/daemon.go
+++ b/internal/edge/entry/daemon.go
@@ -158,7 +158,7 @@
 // Meter has the daemon's metrics.
 func (d *Daemon) Meter() *meter.Meter { return d.meter }
 
-// Run serves until leave ends, then drains: what is in the house is finished, new
+// Run serves until leave ends, then drains: work in progress is finished, new
 // callers are sent elsewhere. When ctx ends, the daemon ends at once.
 func (d *Daemon) Run(ctx, leave context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
@@ -195,7 +195,7 @@
 }
 
 // drain lets the balancer notice for a while, with the listeners open, and then
-// waits for what is in the house.
+// waits for work in progress.
 func (d *Daemon) drain(ctx context.Context) {
 	go func() { _ = d.node.Drain(ctx) }()
 	t := time.NewTimer(d.set.Linger.Std())
--- a/internal/edge/wire/conn.go
+++ b/internal/edge/wire/conn.go
@@ -62,7 +62,7 @@
 	req.Header.SetContentLength(len(x.Body))
 	if ask {
 		req.Header.Set(fasthttp.HeaderExpect, "100-continue")
-		if r, ok := c.knock(req); !ok {
+		if r, ok := c.expect(req); !ok {
 			return r, false
 		}
 	}
@@ -72,12 +72,12 @@
 	return c.send(req, x, ask)
 }
 
-// knock sends the head of the request and waits for the word to go on.
-func (c *conn) knock(req *fasthttp.Request) (flow.Result, bool) {
+// expect sends the head of the request and waits for the word to go on.
+func (c *conn) expect(req *fasthttp.Request) (flow.Result, bool) {
 	silent := func(err error) (flow.Result, bool) {
 		return flow.Result{Ending: flow.Unsent, Err: fmt.Errorf("%w: %w", errNoContinue, err)}, false
 	}
-	if err := c.SetDeadline(time.Now().Add(knockWait)); err != nil {
+	if err := c.SetDeadline(time.Now().Add(expectWait)); err != nil {
 		return silent(err)
 	}
 	if _, err := req.Header.WriteTo(c.w); err != nil {
--- a/internal/edge/wire/pool.go
+++ b/internal/edge/wire/pool.go
@@ -15,8 +15,8 @@
 
 const (
 	dialWait = time.Second
-	// knockWait is how long a connection may keep silent when asked.
-	knockWait = 250 * time.Millisecond
+	// expectWait is how long a connection may keep silent when asked.
+	expectWait = 250 * time.Millisecond
 	// trustFor is how long after an answer a connection is used without asking.
 	trustFor = 20 * time.Millisecond
 	// idleFor is how long a connection is kept without use.
--- a/internal/task/flow/drain.go
+++ b/internal/task/flow/drain.go
@@ -9,7 +9,7 @@
 // drainLook is how often a draining node looks whether it is empty.
 const drainLook = 20 * time.Millisecond
 
-// Drain takes no more work of its own and returns when nothing is left in the
+// Drain takes no more work of its own and returns when nothing is in progress
 // house. New submissions that still arrive, because the balancer learns of the
 // leaving late, are handed to peers.
 func (n *Node) Drain(ctx context.Context) error {
@@ -30,5 +30,5 @@
 // Draining reports whether Drain was called.
 func (n *Node) Draining() bool { return n.draining.Load() }
 
-// Active is the number of submissions in the house.
+// Active is the number of submissions in progress here.
 func (n *Node) Active() int { return int(n.active.Load()) }
--- a/internal/task/flow/node.go
+++ b/internal/task/flow/node.go
@@ -66,14 +66,14 @@
 
 	beats    atomic.Int64
 	serial   atomic.Uint64
-	bytes    atomic.Int64 // of submissions in the house
-	active   atomic.Int64 // submissions in the house
+	bytes    atomic.Int64 // of submissions in progress here
+	active   atomic.Int64 // submissions in progress here
 	running  atomic.Int64 // attempts on endpoints
 	urgent   atomic.Int64 // slots used by urgent work
 	draining atomic.Bool
 	looking  atomic.Bool // a later pump is on its way
 
-	guestMu sync.Mutex // batches of tasks that peers gave
+	peerMu sync.Mutex // batches of tasks that peers gave
 
 	spillMu sync.Mutex
 	groups  map[uint64]*group
--- a/internal/task/flow/guest.go
+++ b/internal/task/flow/peertask.go
@@ -9,8 +9,8 @@
 	"dahliawinch/internal/task/learn"
 )
 
-// guest is one task that a peer gave.
-type guest struct {
+// peerTask is one task that a peer gave.
+type peerTask struct {
 	n     *Node
 	batch *batch
 	task  frame.Task
@@ -62,7 +62,7 @@
 		b.open++
 		tries = append(tries, &try{
 			n: n, ep: ep, task: &t.Task, key: learn.Key{Tenant: t.Tenant, Kind: t.Kind}, band: class.Band,
-			due: now.Add(t.Left), owner: &guest{n: n, batch: b, task: t},
+			due: now.Add(t.Left), owner: &peerTask{n: n, batch: b, task: t},
 		})
 	}
 	for _, t := range tries { // only now: every batch must know its size first
@@ -71,29 +71,29 @@
 	return len(tries)
 }
 
-func (g *guest) begin() bool { return true }
+func (t *peerTask) begin() bool { return true }
 
-func (g *guest) ran(body []byte, _ time.Duration) { g.end(frame.Ran, body, "") }
+func (t *peerTask) ran(body []byte, _ time.Duration) { t.end(frame.Ran, body, "") }
 
-func (g *guest) ranBadly(detail string) { g.end(frame.RanBadly, nil, detail) }
+func (t *peerTask) ranBadly(detail string) { t.end(frame.RanBadly, nil, detail) }
 
-func (g *guest) lost(detail string) { g.end(frame.Uncertain, nil, detail) }
+func (t *peerTask) lost(detail string) { t.end(frame.Uncertain, nil, detail) }
 
-func (g *guest) notRun(_ bool, _ job.Reason, detail string) { g.end(frame.NotRun, nil, detail) }
+func (t *peerTask) notRun(_ bool, _ job.Reason, detail string) { t.end(frame.NotRun, nil, detail) }
 
 // end notes the task's fate. A failure goes back at once, since it ends the job.
-func (g *guest) end(f frame.Fate, body []byte, detail string) {
-	b := g.batch
-	g.n.guestMu.Lock()
+func (t *peerTask) end(f frame.Fate, body []byte, detail string) {
+	b := t.batch
+	t.n.peerMu.Lock()
 	b.open--
-	b.ended = append(b.ended, frame.Ended{Job: g.task.Job, Index: g.task.Index, Fate: f, Body: body, Detail: detail})
+	b.ended = append(b.ended, frame.Ended{Job: t.task.Job, Index: t.task.Index, Fate: f, Body: body, Detail: detail})
 	var send []frame.Ended
 	if b.open == 0 || f != frame.Ran {
 		send, b.ended = b.ended, nil
 	}
-	g.n.guestMu.Unlock()
+	t.n.peerMu.Unlock()
 	if len(send) > 0 {
-		g.n.reply(b.to, &frame.Back{Group: b.group, Ended: send, Room: g.n.room(g.n.now())})
+		t.n.reply(b.to, &frame.Back{Group: b.group, Ended: send, Room: t.n.room(t.n.now())})
 	}
 }
 
--- a/internal/tool/local/local_test.go
+++ b/internal/tool/local/local_test.go
@@ -125,7 +125,7 @@
 		t.Errorf("something started: %+v", v)
 	}
 	if n := d.VMs[0].Daemon.Node().Active(); n > 0 {
-		t.Errorf("%d jobs are left in the house", n)
+		t.Errorf("%d jobs are left in progress here", n)
 	}
 }
 
