Retries for each failure domain, slow senders, a cut of an hour

Change: budget.Set gives each domain half of the VM's retries; a test in virtual time drips bytes into the callers' listener; a scene cuts a domain off for an hour.

--- /dev/null
+++ b/internal/edge/call/slow_test.go
@@ -0,0 +1,58 @@
+package call
+
+import (
+	"io"
+	"log/slog"
+	"net"
+	"os"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/fasthttputil"
+)
+
+// TestMain serves one request outside of any bubble; see package wire.
+func TestMain(m *testing.M) {
+	l := fasthttputil.NewInmemoryListener()
+	s := &fasthttp.Server{Handler: func(*fasthttp.RequestCtx) {}}
+	go func() { _ = s.Serve(l) }()
+	c := fasthttp.HostClient{Addr: "x", Dial: func(string) (net.Conn, error) { return l.Dial() }}
+	_, _, _ = c.Get(nil, "http://x/")
+	os.Exit(m.Run())
+}
+
+// Symptom: a VM runs out of connections and memory. Sequence: many callers send a byte
+// every few seconds and never finish. Cause: a request may take for ever to arrive.
+func TestSlowSenderIsCutAndStartsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		l := fasthttputil.NewInmemoryListener()
+		s := NewServer(nil, slog.New(slog.NewTextHandler(io.Discard, nil))) // no request gets as far as the node
+		done := make(chan error, 1)
+		go func() { done <- s.Serve(l) }()
+		c, err := l.Dial()
+		is.NoErr(err)
+		began := time.Now()
+		_, err = io.WriteString(c, "POST /jobs HTTP/1.1\r\nHost: x\r\nContent-Length: 1000\r\n\r\n")
+		is.NoErr(err)
+		go func() {
+			for range 1000 {
+				time.Sleep(3 * time.Second)
+				if _, err := io.WriteString(c, "x"); err != nil {
+					return
+				}
+			}
+		}()
+		text, err := io.ReadAll(c)
+		is.NoErr(err)
+		is.True(time.Since(began) <= sendWait+time.Second)
+		is.True(strings.Contains(string(text), `"outcome":"refused"`))
+		is.NoErr(l.Close())
+		<-done
+		time.Sleep(time.Hour) // the library's workers end in their own time
+	})
+}
--- a/internal/task/budget/budget_test.go
+++ b/internal/task/budget/budget_test.go
@@ -39,3 +39,22 @@
 		}
 	})
 }
+
+// Symptom: tasks wait for retries though their domain refuses nothing. Sequence:
+// another failure domain refuses everything it is given. Cause: one budget for all.
+func TestOneDomainCantSpendTheOthersRetries(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := NewSet(now, 0.1, 0, 20)
+	spent := 0
+	for range 100 {
+		if s.Spend(now, "bad") {
+			spent++
+		}
+	}
+	if spent != 10 {
+		t.Errorf("the bad domain spent %d of 20", spent)
+	}
+	if !s.Spend(now, "good") {
+		t.Error("the good domain has no retry left")
+	}
+}
--- a/internal/task/flow/node.go
+++ b/internal/task/flow/node.go
@@ -31,6 +31,10 @@
 	// goneFor is how long the word that an endpoint leaves is believed and passed
 	// on; the platform's list lags by less.
 	goneFor = 90 * time.Second
+	// retryFloor is how many retries a second there are whatever the load, retryTop how
+	// many at once.
+	retryFloor = 5
+	retryTop   = 100
 	// lead is how much slot time a tenant may be ahead of the others.
 	lead = 4 * time.Second
 	// quietFor is how long an endpoint may say nothing before it is asked.
@@ -60,7 +64,7 @@
 	learn  learn.Book
 	book   *ticket.Book
 	view   *view.View
-	budget *budget.Budget
+	budget *budget.Set
 	quota  *quota.Book
 	queues [job.Bands]*queue.Queue[*work]
 
@@ -104,7 +108,7 @@
 		health: health.New(),
 		view:   view.New(cfg.Self, cfg.Domain, now),
 		quota:  quota.New(),
-		budget: budget.New(now, cfg.Retries, 5, 50),
+		budget: budget.NewSet(now, cfg.Retries, retryFloor, retryTop),
 		book: ticket.NewBook(cfg.Self, cfg.Inc, cfg.Secret, ticket.Limits{
 			Term: cfg.Term, Uses: cfg.Tickets, Bytes: cfg.Memory / 4,
 		}),
--- a/internal/task/flow/park.go
+++ b/internal/task/flow/park.go
@@ -12,15 +12,15 @@
 // park holds back a refused task while the retry budget is empty. Queueing it at
 // once would multiply refusals under the overload that caused them; failing its
 // job would lose work that can still be done in time.
-func (n *Node) park(w *work, retry func()) {
+func (n *Node) park(w *work, domain string, retry func()) {
 	n.parts.Timers.After(parkFor, func() {
 		switch {
 		case n.ctx.Err() != nil || w.settled():
-		case n.retry(n.now()) == job.NoReason:
+		case n.retry(n.now(), domain) == job.NoReason:
 			retry()
 			n.pump()
 		default:
-			n.park(w, retry)
+			n.park(w, domain, retry)
 		}
 	})
 }
--- a/internal/task/flow/peertask.go
+++ b/internal/task/flow/peertask.go
@@ -79,7 +79,7 @@
 
 func (t *peerTask) lost(detail string) { t.end(frame.Uncertain, nil, detail) }
 
-func (t *peerTask) notRun(_ bool, _ job.Reason, detail string) { t.end(frame.NotRun, nil, detail) }
+func (t *peerTask) notRun(_ bool, _ job.Reason, _, detail string) { t.end(frame.NotRun, nil, detail) }
 
 // end notes the task's fate. A failure goes back at once, since it ends the job.
 func (t *peerTask) end(f frame.Fate, body []byte, detail string) {
--- a/internal/task/flow/pump.go
+++ b/internal/task/flow/pump.go
@@ -89,8 +89,9 @@
 
 // start sends one task on its way to an endpoint whose slot is claimed.
 func (n *Node) start(w *work, i int, ep *place.Endpoint) {
-	n.budget.Earn(1)
-	n.quota.Start(n.now(), w.req.Tenant)
+	now := n.now()
+	n.budget.Earn(now, ep.Domain, 1)
+	n.quota.Start(now, w.req.Tenant)
 	t := &try{
 		n: n, ep: ep, task: &w.req.Tasks[i], key: w.key, band: w.class.Band,
 		due: w.due, owner: &share{n: n, w: w, i: i},
@@ -124,7 +125,7 @@
 }
 
 // notRun puts the task back in the queue, or ends the job.
-func (s *share) notRun(sent bool, why job.Reason, detail string) {
+func (s *share) notRun(sent bool, why job.Reason, domain, detail string) {
 	s.n.quota.End(s.w.req.Tenant, true)
 	if sent {
 		s.w.unsend()
@@ -133,7 +134,7 @@
 	case job.NoReason:
 		s.requeue()
 	case job.OutOfBudget:
-		s.n.park(s.w, s.requeue)
+		s.n.park(s.w, domain, s.requeue)
 	default:
 		s.n.settle(s.w, s.w.quit(why, leastRetry, detail))
 	}
--- a/internal/task/flow/spill.go
+++ b/internal/task/flow/spill.go
@@ -220,7 +220,7 @@
 		case frame.RanBadly:
 			s.ranBadly(e.Detail)
 		case frame.NotRun:
-			s.notRun(true, n.retry(now), e.Detail)
+			s.notRun(true, n.retry(now, from.Domain), from.Domain, e.Detail)
 		case frame.Uncertain:
 			s.lost(e.Detail)
 		}
--- a/internal/task/flow/try.go
+++ b/internal/task/flow/try.go
@@ -28,7 +28,8 @@
 	ran(body []byte, ran time.Duration)
 	ranBadly(detail string)
 	lost(detail string)
-	notRun(sent bool, why job.Reason, detail string) // why is NoReason if it may be tried again
+	// notRun says why it can't be tried again, or NoReason, and which domain refused.
+	notRun(sent bool, why job.Reason, domain, detail string)
 }
 
 // try is one attempt to run a task on one endpoint.
@@ -150,18 +151,18 @@
 func (t *try) again(now time.Time, sent, wanted bool, detail string) {
 	n := t.n
 	if !wanted || !now.Before(t.due) {
-		t.owner.notRun(sent, job.Deadline, "its time ran out")
+		t.owner.notRun(sent, job.Deadline, t.ep.Domain, "its time ran out")
 		return
 	}
 	if sent {
 		n.parts.Meter.Waste(meterRefusal, 1)
 	}
-	t.owner.notRun(sent, n.retry(now), detail)
+	t.owner.notRun(sent, n.retry(now, t.ep.Domain), t.ep.Domain, detail)
 }
 
 // retry takes a retry from the budget, or says that there is none.
-func (n *Node) retry(now time.Time) job.Reason {
-	if !n.budget.Spend(now) {
+func (n *Node) retry(now time.Time, domain string) job.Reason {
+	if !n.budget.Spend(now, domain) {
 		return job.OutOfBudget
 	}
 	n.parts.Meter.Waste(meterRetry, 1)
--- a/internal/tool/scene/fault_test.go
+++ b/internal/tool/scene/fault_test.go
@@ -333,6 +333,42 @@
 	}
 }
 
+// Symptom: a failure domain that comes back after an hour drags the others down, or
+// starts again what others finished. Sequence: it is cut off for an hour under load and
+// healed. Cause: what was kept for it is played, or everybody reconnects at once.
+func TestHourLongCutHealsWithinTenSeconds(t *testing.T) {
+	t.Parallel()
+	const from, till = 8 * time.Second, time.Hour + 8*time.Second
+	set := Brief(0.03)
+	set.Span = time.Hour + 40*time.Second
+	cut := func(on bool) func(*Scene) {
+		return func(s *Scene) {
+			for n := 1; n < 4; n++ {
+				s.Cut(0, n, on)
+			}
+		}
+	}
+	set.Faults = []Fault{{from, cut(true)}, {till, cut(false)}}
+	s := play(t, set)
+	var during, after []Result
+	for _, r := range s.results {
+		switch {
+		case r.At > from+10*time.Second && r.At < till:
+			during = append(during, r)
+		case r.At > till+10*time.Second:
+			after = append(after, r)
+		}
+	}
+	t.Logf("cut off: %d jobs, %d lost, ratio %.3f; healed: %d jobs, %d lost, ratio %.3f; %+v",
+		len(during), lost(during), mean(ratios(during)), len(after), lost(after), mean(ratios(after)), s.Judge.Verdict())
+	if lost(during)+lost(after) > 0 || len(after) < 20 {
+		t.Errorf("%d jobs lost while cut off, %d after healing, of %d and %d", lost(during), lost(after), len(during), len(after))
+	}
+	if m := mean(ratios(after)); m > 1.05 {
+		t.Errorf("mean ratio %.3f after healing", m)
+	}
+}
+
 // Symptom: live work stands still. Sequence: ten thousand callers cancel within a
 // second. Cause: each cancellation costs a walk through the queue.
 func TestWaveOfCancellations(t *testing.T) {
