Callers are told that a refusal uses its ticket up; links take the largest submission

Cause: read once more as a caller: after 'refused' the same ticket gets the same refusal, which no page said. A link kept at most 16 MiB, less than the largest frame, so a handed submission near the limit was answered as if its VM were gone.

--- a/internal/edge/call/slow_test.go
+++ b/internal/edge/call/slow_test.go
@@ -52,7 +52,7 @@
 		is.True(time.Since(began) <= sendWait+time.Second)
 		is.True(strings.Contains(string(text), `"outcome":"refused"`))
 		is.NoErr(l.Close())
-		<-done
+		is.NoErr(<-done)
 		time.Sleep(time.Hour) // the library's workers end in their own time
 	})
 }
--- a/internal/mesh/link/hub.go
+++ b/internal/mesh/link/hub.go
@@ -35,7 +35,7 @@
 )
 
 // mostKept bounds the bytes kept for one peer until they are acknowledged.
-const mostKept = 16 << 20
+const mostKept = 2 * frame.Most
 
 // ErrFull is returned for a message that can't be kept; it was not sent.
 var ErrFull = errors.New("too much waits for the peer")
--- a/winch/client.go
+++ b/winch/client.go
@@ -44,7 +44,7 @@
 	Class    string
 	Kind     string        // groups tasks of like run time
 	Deadline time.Duration // 0 for the class's
-	Ticket   string        // needed for non-idempotent classes
+	Ticket   string        // needed for non-idempotent classes; any answer uses it up, a refusal too
 	Grant    int           // tickets wanted along with the answer
 	Tasks    []Task
 }
