The document's tests catch a race settled by arrival

Change: a variant in which a VM takes its own append for accepted.

Figures: go test ./internal/conf/fold: the check notices the broken variant and passes the right one.

--- a/internal/conf/fold/fold_test.go
+++ b/internal/conf/fold/fold_test.go
@@ -112,6 +112,11 @@
 	default: // replaced; it is new, so it has nothing to revert from
 		m.vms[i], was[i] = m.boot(), 0
 	}
+	return m.check(was)
+}
+
+// check judges every VM by the truth; was has their revisions before.
+func (m *model) check(was []uint64) error {
 	for i, f := range m.vms {
 		if f.cur.Rev < was[i] {
 			return fmt.Errorf("vm %d from %d to %d: %w", i, was[i], f.cur.Rev, errReverted)
@@ -182,6 +187,28 @@
 	}
 }
 
+// Symptom: two operators are both told that their document is revision 1. Sequence: two
+// VMs declare on the same base at the same moment. Cause: a VM takes its own append for
+// accepted when it returns, without reading what came before it. The variant is broken on
+// purpose: the model's check has to notice.
+func TestRaceSettledByArrivalIsCaught(t *testing.T) {
+	for _, arrival := range []bool{false, true} {
+		is := is.New(t)
+		m := newModel(2, false)
+		for i, f := range m.vms {
+			f.Open(0)
+			rec := Record{Kind: Declare, Token: fmt.Sprint("of-", i), Doc: json.RawMessage(`{}`)}
+			is.NoErr(m.append(rec))
+			if arrival {
+				f.declare(int64(len(m.records)-1), rec)
+			} else {
+				m.read(f, 1<<30)
+			}
+		}
+		is.Equal(m.check([]uint64{0, 0}) != nil, arrival)
+	}
+}
+
 func TestLoserIsToldByWhom(t *testing.T) {
 	is := is.New(t)
 	m := newModel(1, false)
