The client says unknown, not refused, when a ticket's VM can't be reached

Cause: read once more along each error path. A failed connection was answered "refused" by the client also for a question about a ticket, and for a job sent again under one, of which an earlier copy may have run.

Change: under a ticket a failed connection is unknown.

Figures: TestNoConnectionIsNoRefusalUnderATicket (go test ./winch) passes; without the change its three answers under a ticket were "refused" by the code's one path for them.

--- a/internal/tool/load/load.go
+++ b/internal/tool/load/load.go
@@ -149,7 +149,7 @@
 			continue
 		}
 		a = l.submit(ctx, clients[c], j)
-		if a.Outcome != winch.Refused || a.Reason != "connect" {
+		if a.Reason != "connect" {
 			break
 		}
 		l.gone.Store(c, time.Now())
--- a/winch/client.go
+++ b/winch/client.go
@@ -141,6 +141,9 @@
 		wait = j.Deadline + answerGrace
 	}
 	a := c.do(ctx, fasthttp.MethodPost, "/jobs", text, wait)
+	if j.Ticket != "" {
+		a = doubt(a)
+	}
 	if a.Outcome == Done && len(a.Results) != len(j.Tasks) {
 		return Answer{Outcome: Unknown, Detail: ErrAnswer.Error()}, nil
 	}
@@ -150,14 +153,26 @@
 // Ask says what became of the job sent under a ticket. A ticket that was not used
 // yet is used up by asking, so that "refused" stays true.
 func (c *Client) Ask(ctx context.Context, ticket string) Answer {
-	return c.do(ctx, fasthttp.MethodGet, "/tickets/"+ticket, nil, 10*time.Second)
+	return doubt(c.do(ctx, fasthttp.MethodGet, "/tickets/"+ticket, nil, 10*time.Second))
 }
 
 // Cancel stops the job sent under a ticket and says what became of it.
 func (c *Client) Cancel(ctx context.Context, ticket string) Answer {
-	return c.do(ctx, fasthttp.MethodDelete, "/tickets/"+ticket, nil, 10*time.Second)
+	return doubt(c.do(ctx, fasthttp.MethodDelete, "/tickets/"+ticket, nil, 10*time.Second))
+}
+
+// doubt words a failed connection for what is under a ticket: nothing was sent now, but
+// a copy sent before may have run, so "refused" could be a lie.
+func doubt(a Answer) Answer {
+	if a.Outcome == Refused && a.Reason == reasonConnect {
+		a.Outcome = Unknown
+	}
+	return a
 }
 
+// reasonConnect says that no connection could be opened, so nothing was sent.
+const reasonConnect = "connect"
+
 // Tickets takes n tickets.
 func (c *Client) Tickets(ctx context.Context, n int) ([]string, error) {
 	a := c.do(ctx, fasthttp.MethodPost, "/tickets", fmt.Appendf(nil, `{"count":%d}`, n), 10*time.Second)
@@ -186,7 +201,7 @@
 	defer fasthttp.ReleaseResponse(resp)
 	var dial *fasthttp.ErrDialWithUpstream
 	if errors.As(err, &dial) {
-		return Answer{Outcome: Refused, Reason: "connect", Detail: err.Error(), Retry: 100 * time.Millisecond}
+		return Answer{Outcome: Refused, Reason: reasonConnect, Detail: err.Error(), Retry: 100 * time.Millisecond}
 	}
 	if err != nil {
 		return Answer{Outcome: Unknown, Reason: "silent", Detail: err.Error()}
