--- a/internal/cli/cmds/command.go
+++ b/internal/cli/cmds/command.go
@@ -28,7 +28,7 @@
 
 // commands in the order of the help text.
 var commands = []command{
-	cmdDemo, cmdLocal, cmdEntry, cmdCheck, cmdLoad, cmdBench,
+	cmdDemo, cmdLocal, cmdEntry, cmdServe, cmdCheck, cmdLoad, cmdBench,
 	cmdDeclare, cmdForm, cmdDiff, cmdHistory, cmdWatch, cmdKeys, cmdMan, cmdVersion,
 }
 
--- a/internal/edge/call/server.go
+++ b/internal/edge/call/server.go
@@ -12,6 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	"dahliawinch/internal/conf/doc"
+	"dahliawinch/internal/edge/hangup"
 	"dahliawinch/internal/task/flow"
 	"dahliawinch/internal/task/job"
 )
@@ -130,7 +131,7 @@
 	}
 	life, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	stop := onHangup(ctx.Conn(), cancel)
+	stop := hangup.Watch(ctx.Conn(), cancel)
 	defer stop()
 	write(ctx, s.node.Submit(life, j.request(tenant)))
 }
--- a/internal/edge/call/hangup.go
+++ b/internal/edge/hangup/hangup.go
@@ -1,4 +1,5 @@
-package call
+// Package hangup notices callers that leave while their request is worked on.
+package hangup
 
 import (
 	"crypto/tls"
@@ -17,10 +18,10 @@
 	lookEvery = 100 * time.Millisecond
 )
 
-// onHangup calls fn when the caller closes its connection while its request is
+// Watch calls fn when the caller closes its connection while its request is
 // being worked on. The HTTP library reads nothing meanwhile, so waiting work
 // would keep its place in the queue for a caller that is gone.
-func onHangup(c net.Conn, fn func()) (stop func()) {
+func Watch(c net.Conn, fn func()) (stop func()) {
 	if t, ok := c.(*tls.Conn); ok {
 		c = t.NetConn()
 	}
--- /dev/null
+++ b/internal/edge/serve/beat.go
@@ -0,0 +1,268 @@
+package serve
+
+import (
+	"net/netip"
+	"time"
+
+	"dahliawinch/internal/mesh/claim"
+	"dahliawinch/internal/mesh/frame"
+	"dahliawinch/internal/mesh/view"
+	"dahliawinch/internal/task/lease"
+	"dahliawinch/internal/task/owner"
+	"dahliawinch/internal/task/route"
+)
+
+const (
+	// doubtAfter is the silence of a VM after which its jobs here are stopped. A caller
+	// whose connection broke submits again 1.3 s later: nothing may run by then.
+	doubtAfter = 900 * time.Millisecond
+	// lostAfter is the silence of an owner after which jobs given to it are answered.
+	lostAfter = 700 * time.Millisecond
+)
+
+// beat sends heartbeats, looks at silences and decides who owns what.
+func (d *Daemon) beat() {
+	now := d.now()
+	for _, c := range d.view.Tick(now) {
+		d.changed(now, c)
+	}
+	d.mu.Lock()
+	d.decide(now)
+	b := d.pulse(now)
+	d.perform()
+	d.mu.Unlock()
+	d.beats++
+	for i, m := range d.view.Members() {
+		if !m.Speaks() {
+			continue
+		}
+		if m.Domain == d.set.Domain || (d.beats+int64(i))%view.Far == 0 || b.Leaving {
+			_ = d.hub.Cast(m.VM, b) // a heartbeat that can't be sent is followed by the next
+		}
+	}
+}
+
+// changed takes in that a VM came, went or was replaced.
+func (d *Daemon) changed(now time.Time, c view.Change) {
+	d.log.Info("vm "+c.State.String(), "vm", c.VM, "inc", c.Inc, "reborn", c.Reborn)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if c.State == view.Alive && (d.since[c.VM].IsZero() || c.Reborn) {
+		d.since[c.VM] = now
+	}
+	if c.State == view.Gone || c.State == view.Left {
+		delete(d.since, c.VM)
+	}
+	if c.Reborn {
+		d.table.Forget(c.VM)
+		d.loseOwner(now, c.VM, c.Inc, "the owner was restarted")
+		d.book.CancelOf(now, func(k owner.Key) bool { return k.VM == c.VM && k.Inc != c.Inc }, "its VM was restarted")
+	}
+	d.perform()
+}
+
+// silences ends what depended on VMs that are not heard.
+func (d *Daemon) silences(now time.Time) {
+	for _, m := range d.view.Members() {
+		quiet := now.Sub(m.Heard)
+		if m.State == view.Listed || quiet < lostAfter {
+			continue
+		}
+		d.table.Forget(m.VM)
+		d.loseOwner(now, m.VM, 0, "the owner is silent")
+		if quiet >= doubtAfter {
+			d.book.CancelOf(now, func(k owner.Key) bool { return k.VM == m.VM }, "its VM is silent")
+		}
+	}
+}
+
+// groups are the failure domains that have endpoints.
+func (d *Daemon) groups() (gs []claim.Group) {
+	seen := map[string]bool{}
+	for _, in := range d.roster {
+		if !seen[in.Domain] {
+			seen[in.Domain] = true
+			gs = append(gs, claim.Group{Name: in.Domain, Domain: in.Domain})
+		}
+	}
+	return gs
+}
+
+// groupOf names the group of an endpoint.
+func groupOf(in lease.Info) string { return in.Domain }
+
+// decide takes and gives groups of endpoints.
+func (d *Daemon) decide(now time.Time) {
+	if !d.listed {
+		return
+	}
+	peers := d.peers(now)
+	for _, c := range d.claims.Decide(now, d.leaving.Load(), d.groups(), peers) {
+		d.log.Info("group", "group", c.Group, "fence", c.Fence, "giving", c.Giving, "lost", c.Lost, "why", c.Why)
+		if c.Lost {
+			d.letGo(now, c)
+		}
+	}
+	held := held(peers)
+	for _, g := range d.claims.Groups() {
+		d.tend(now, g, held)
+	}
+}
+
+func (d *Daemon) peers(now time.Time) (ps []claim.Peer) {
+	for _, m := range d.view.Members() {
+		ps = append(ps, claim.Peer{
+			VM: m.VM, Domain: m.Domain, Leaving: m.State == view.Left || m.Beat.Leaving, Since: d.since[m.VM],
+			Live:   (m.State == view.Alive || m.State == view.Suspect) || (m.State == view.Left && now.Sub(m.Heard) < lostAfter),
+			Claims: m.Beat.Claims,
+		})
+	}
+	return ps
+}
+
+// held are the endpoints that their former owners still use.
+func held(peers []claim.Peer) map[string]bool {
+	ids := map[string]bool{}
+	for _, p := range peers {
+		for _, c := range p.Claims {
+			if p.Live && c.Giving {
+				for _, id := range c.Held {
+					ids[id] = true
+				}
+			}
+		}
+	}
+	return ids
+}
+
+// letGo drops the endpoints of a group that another VM owns.
+func (d *Daemon) letGo(now time.Time, c claim.Change) {
+	for id, in := range d.roster {
+		if groupOf(in) == c.Group && d.book.Owned(id) {
+			d.book.Lose(now, id, false, c.Why)
+		}
+	}
+}
+
+// tend makes the book follow a claim: own what is listed, give what is given.
+func (d *Daemon) tend(now time.Time, group string, held map[string]bool) {
+	o := d.claims.Owns(group)
+	left := false
+	for id, in := range d.roster {
+		switch {
+		case groupOf(in) != group:
+		case o.Giving:
+			d.book.Give(id)
+			left = left || d.book.Owned(id)
+		case !held[id] && !d.book.Owned(id):
+			d.book.Own(in, o.Fence)
+		}
+	}
+	if !o.Giving {
+		return
+	}
+	for _, id := range d.book.Release() {
+		d.log.Info("endpoint given", "endpoint", id, "group", group)
+	}
+	if !left {
+		d.claims.Drop(group)
+		d.log.Info("group given", "group", group)
+	}
+	_ = now
+}
+
+// pulse is this VM's heartbeat.
+func (d *Daemon) pulse(now time.Time) *frame.Beat {
+	b := &frame.Beat{At: now, Leaving: d.leaving.Load(), Doubts: d.view.Doubts(now)}
+	for _, g := range d.claims.Groups() {
+		o := d.claims.Owns(g)
+		c := frame.Claim{Group: g, Fence: o.Fence, Giving: o.Giving}
+		if o.Giving {
+			c.Held = d.book.Held()
+		}
+		b.Claims = append(b.Claims, c)
+	}
+	return b
+}
+
+// tick looks at deadlines.
+func (d *Daemon) tick() {
+	now := d.now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.silences(now)
+	d.book.Tick(now)
+	d.perform()
+}
+
+// repeatEvery is after how many unchanged looks a load is told again, so that it does
+// not age out.
+const repeatEvery = 4
+
+// tell sends this VM's load to the others when it changed.
+func (d *Daemon) tell() {
+	now := d.now()
+	d.mu.Lock()
+	l := d.book.Load(now)
+	if d.leaving.Load() {
+		l = owner.Load{}
+	}
+	d.hear(now, d.set.Mesh, l, true)
+	same := l == d.told
+	d.quiet++
+	if same && (d.quiet < repeatEvery || l.Total == 0) {
+		d.mu.Unlock()
+		return
+	}
+	d.told, d.quiet = l, 0
+	d.mu.Unlock()
+	m := loadFrame(l)
+	for _, p := range d.view.Members() {
+		if p.State == view.Alive {
+			_ = d.hub.Cast(p.VM, &m) // the next one follows soon
+		}
+	}
+}
+
+func (d *Daemon) hear(now time.Time, vm netip.AddrPort, l owner.Load, near bool) {
+	d.table.Hear(vm, route.Load{At: now, Free: l.Free, Total: l.Total, Ahead: l.Ahead, Near: near})
+}
+
+func loadFrame(l owner.Load) frame.Load {
+	return frame.Load{Free: float32(l.Free), Total: float32(l.Total), Ahead: [3]float32{float32(l.Ahead[0]), float32(l.Ahead[1]), float32(l.Ahead[2])}}
+}
+
+func loadOf(m frame.Load) owner.Load {
+	return owner.Load{Free: float64(m.Free), Total: float64(m.Total), Ahead: [3]float64{float64(m.Ahead[0]), float64(m.Ahead[1]), float64(m.Ahead[2])}}
+}
+
+// receive takes in a message of another VM.
+func (d *Daemon) receive(from frame.Hello, m frame.Msg) {
+	now := d.now()
+	switch m := m.(type) {
+	case *frame.Beat:
+		if c, ok := d.view.Hear(now, from, m); ok {
+			d.changed(now, c)
+		}
+	case *frame.Load:
+		d.mu.Lock()
+		d.hear(now, from.VM, loadOf(*m), from.Domain == d.set.Domain)
+		d.mu.Unlock()
+	case *frame.Hand:
+		d.mu.Lock()
+		d.book.Submit(now, owner.Key{VM: from.VM, Inc: from.Inc, Call: m.Call}, &m.Job)
+		d.perform()
+		d.mu.Unlock()
+	case *frame.Drop:
+		d.mu.Lock()
+		d.book.Cancel(now, owner.Key{VM: from.VM, Inc: from.Inc, Call: m.Call}, "its caller left")
+		d.perform()
+		d.mu.Unlock()
+	case *frame.Told:
+		d.mu.Lock()
+		d.hear(now, from.VM, loadOf(m.Load), from.Domain == d.set.Domain)
+		d.resolve(now, from.VM, m.Call, m.Answer)
+		d.mu.Unlock()
+	default:
+	}
+}
--- /dev/null
+++ b/internal/edge/serve/perform.go
@@ -0,0 +1,207 @@
+package serve
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"dahliawinch/internal/mesh/frame"
+	"dahliawinch/internal/plat/agent"
+	"dahliawinch/internal/task/lease"
+	"dahliawinch/internal/task/owner"
+)
+
+const (
+	// orderWait is how long a start or stop may go without an answer, which takes a few
+	// milliseconds; after it the connection is taken for silent.
+	orderWait = 300 * time.Millisecond
+	// renewWait is how long a renewal waits for an end. Leases last about twice as long.
+	renewWait = 400 * time.Millisecond
+	// renewGrace is added until a renewal counts as unanswered.
+	renewGrace = 200 * time.Millisecond
+	// renewAgain is the pause after a renewal that failed or found orphans.
+	renewAgain = 50 * time.Millisecond
+	// stopTries is how often a stop is tried; after it the lease ends the run.
+	stopTries = 3
+)
+
+// perform carries out what the book decided; the caller holds the lock.
+func (d *Daemon) perform() {
+	for {
+		acts := d.book.Take()
+		if len(acts.Starts)+len(acts.Stops)+len(acts.Tells)+len(acts.Wakes) == 0 {
+			return
+		}
+		for i := range acts.Starts {
+			s := acts.Starts[i]
+			d.wg.Go(func() { d.start(s) })
+		}
+		for i := range acts.Stops {
+			s := acts.Stops[i]
+			d.wg.Go(func() { d.stop(s) })
+		}
+		for i := range acts.Wakes {
+			d.wake(acts.Wakes[i].At)
+		}
+		for i := range acts.Tells {
+			d.answer(&acts.Tells[i])
+		}
+	}
+}
+
+// answer brings a job's answer to the VM that took it in; the caller holds the lock.
+func (d *Daemon) answer(t *owner.Tell) {
+	now := d.now()
+	if t.Key.VM == d.set.Mesh {
+		d.resolve(now, t.Key.VM, t.Key.Call, t.Answer)
+		return
+	}
+	m := &frame.Told{Call: t.Key.Call, Answer: t.Answer, Load: loadFrame(d.book.Load(now))}
+	if err := d.hub.Cast(t.Key.VM, m); err != nil {
+		d.log.Info("answer lost", "vm", t.Key.VM, "call", t.Key.Call, "outcome", t.Answer.Outcome.String(), "err", err)
+	}
+}
+
+func target(ep *lease.Endpoint) agent.Target { return agent.Target{ID: ep.ID, Addr: ep.Addr} }
+
+// start orders a run.
+func (d *Daemon) start(s owner.Start) {
+	ctx, cancel := context.WithTimeout(d.ctx, orderWait)
+	defer cancel()
+	d.meter.Start()
+	n := lease.Name{Task: s.Run.Name, Num: s.Run.Num}
+	err := d.plat.Agent.Start(ctx, target(s.At), agent.Start{Name: n, Spec: s.Spec, Until: s.Until, Fence: s.Fence})
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.now()
+	var refused *agent.RefusedError
+	switch {
+	case err == nil:
+		d.book.Started(now, s.At, s.Run)
+	case errors.As(err, &refused):
+		d.book.Refused(now, s.At, s.Run, refused.Why)
+		d.fenced(refused.Why, s.Fence)
+	case errors.Is(err, agent.ErrUnsent):
+		d.book.Unsent(now, s.At, s.Run, err)
+	default:
+		d.book.Unsure(now, s.At, s.Run, err)
+	}
+	d.perform()
+}
+
+// fenced notes that a fence proved too low.
+func (d *Daemon) fenced(why agent.Refusal, fence uint64) {
+	if why == agent.Fenced {
+		d.claims.Raise(fence)
+	}
+}
+
+// stop orders the end of a run.
+func (d *Daemon) stop(s owner.Stop) {
+	for range stopTries {
+		ctx, cancel := context.WithTimeout(d.ctx, orderWait)
+		err := d.plat.Agent.Stop(ctx, target(s.At), s.Name, s.Fence)
+		cancel()
+		var refused *agent.RefusedError
+		if errors.As(err, &refused) && (refused.Why == agent.Fenced || refused.Why == agent.Dead) {
+			d.mu.Lock()
+			d.book.Lose(d.now(), s.At.ID, refused.Why == agent.Dead, "it refused a stop: "+refused.Why.String())
+			d.fenced(refused.Why, s.Fence)
+			d.perform()
+			d.mu.Unlock()
+			return
+		}
+		if err == nil || refused != nil {
+			d.mu.Lock()
+			d.book.Stopped(d.now(), s.At, s.Name)
+			d.perform()
+			d.mu.Unlock()
+			return
+		}
+		if d.ctx.Err() != nil {
+			return
+		}
+		d.log.Info("stop without answer", "task", s.Name.Task, "run", s.Name.Num, "endpoint", s.At.ID, "err", err)
+	}
+}
+
+// wake makes an endpoint's renewals begin; the caller holds the lock.
+func (d *Daemon) wake(ep *lease.Endpoint) {
+	ch := d.wakes[ep.ID]
+	if ch == nil {
+		ch = make(chan struct{}, 1)
+		d.wakes[ep.ID] = ch
+		d.wg.Go(func() { d.renew(ep, ch) })
+	}
+	select {
+	case ch <- struct{}{}:
+	default:
+	}
+}
+
+// renew keeps an endpoint's lease and collects its ends while this VM owns it. An idle
+// endpoint costs no call.
+func (d *Daemon) renew(ep *lease.Endpoint, ch chan struct{}) {
+	defer d.plat.Agent.Forget(target(ep))
+	for d.ctx.Err() == nil {
+		d.mu.Lock()
+		if d.book.Find(ep.ID) != ep {
+			if d.wakes[ep.ID] == ch {
+				delete(d.wakes, ep.ID)
+			}
+			if again := d.book.Find(ep.ID); again != nil {
+				d.wake(again)
+			}
+			d.mu.Unlock()
+			return
+		}
+		idle := ep.Idle()
+		now := d.now()
+		o := agent.Renew{Fence: ep.Fence, Cursor: ep.Cursor}
+		if ep.Known && !ep.Silent && len(ep.Runs) > 0 {
+			o.Until, o.Wait = ep.Until(now), renewWait
+		}
+		d.mu.Unlock()
+		if idle {
+			select {
+			case <-ch:
+			case <-time.After(time.Second): // so that a lost endpoint is let go of
+			case <-d.ctx.Done():
+			}
+			continue
+		}
+		d.renewOnce(ep, o, now)
+	}
+}
+
+func (d *Daemon) renewOnce(ep *lease.Endpoint, o agent.Renew, sent time.Time) {
+	ctx, cancel := context.WithTimeout(d.ctx, o.Wait+renewGrace)
+	r, err := d.plat.Agent.Renew(ctx, target(ep), o)
+	cancel()
+	if d.ctx.Err() != nil {
+		return
+	}
+	d.mu.Lock()
+	now := d.now()
+	var refused *agent.RefusedError
+	switch {
+	case err == nil:
+		d.book.Renewed(now, sent, ep, r)
+	case errors.As(err, &refused) && (refused.Why == agent.Fenced || refused.Why == agent.Dead):
+		d.book.Lose(now, ep.ID, refused.Why == agent.Dead, "it refused a renewal: "+refused.Why.String())
+		d.fenced(refused.Why, o.Fence)
+	default:
+		d.book.Quiet(now, ep, err)
+	}
+	d.perform()
+	rest := err != nil || !ep.Known
+	d.mu.Unlock()
+	if rest {
+		t := time.NewTimer(renewAgain)
+		defer t.Stop()
+		select {
+		case <-t.C:
+		case <-d.ctx.Done():
+		}
+	}
+}
--- /dev/null
+++ b/internal/edge/serve/submit.go
@@ -0,0 +1,259 @@
+package serve
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"dahliawinch/internal/mesh/frame"
+	"dahliawinch/internal/task/batch"
+	"dahliawinch/internal/task/job"
+	"dahliawinch/internal/task/owner"
+	"dahliawinch/internal/task/route"
+)
+
+const (
+	// longest is how long a job may take whose caller names no deadline.
+	longest = 30 * time.Second
+	// leastRetry and mostRetry bound the time to come back after a refusal. Callers are
+	// spread over it, so that they don't return together.
+	leastRetry = 200 * time.Millisecond
+	mostRetry  = 5 * time.Second
+)
+
+// call is a job on its way to its caller's answer.
+type call struct {
+	n     uint64
+	job   *batch.Job
+	cores float64
+	came  time.Time
+	due   time.Time
+	to    netip.AddrPort // the owner that has it
+	tried []netip.AddrPort
+	done  chan struct{}
+	ended bool
+	a     job.Answer
+}
+
+// Submit implements Door.
+func (d *Daemon) Submit(ctx context.Context, s Submission) job.Answer {
+	now := d.now()
+	j, refusal := d.ident(&s)
+	if refusal != nil {
+		d.log.Info("request refused", "host", s.Host, "path", s.Path, "reason", string(refusal.Reason), "detail", refusal.Detail)
+		return *refusal
+	}
+	c := &call{n: d.serial.Add(1), job: j, came: now, due: now.Add(j.Left), done: make(chan struct{})}
+	for i := range j.Steps {
+		c.cores = max(c.cores, float64(j.Steps[i].Count)*j.Steps[i].Need.Cores)
+	}
+	d.log.Info("request", "job", j.ID, "queue", j.Queue, "tasks", j.Tasks(), "left", j.Left)
+	d.mu.Lock()
+	if old := d.byID[j.ID]; old != nil {
+		d.drop(old, job.Answer{Outcome: job.Unknown, Reason: job.StillRuns, Detail: "the same job was submitted again"})
+	}
+	d.calls[c.n], d.byID[j.ID] = c, c
+	d.send(now, c)
+	d.perform()
+	d.mu.Unlock()
+	t := time.NewTimer(j.Left)
+	defer t.Stop()
+	select {
+	case <-c.done:
+	case <-ctx.Done():
+		d.quit(c, job.Answer{Outcome: job.Unknown, Reason: job.Canceled, Detail: "its caller left"})
+	case <-t.C:
+		d.quit(c, job.Answer{Outcome: job.Unknown, Reason: job.Deadline, Detail: "its time ran out"})
+	}
+	d.log.Info("answer", "job", j.ID, "queue", j.Queue, "outcome", c.a.Outcome.String(), "reason", string(c.a.Reason), "owner", c.to, "tried", len(c.tried), "took", d.now().Sub(now).Round(time.Millisecond), "retry", c.a.Retry, "detail", c.a.Detail)
+	d.meter.Answered(j.Queue, fmt.Sprint(j.Rank), &c.a, d.now().Sub(now), 0)
+	return c.a
+}
+
+// ident finds a submission's queue and turns it into a job.
+func (d *Daemon) ident(s *Submission) (*batch.Job, *job.Answer) {
+	p := d.plan.Load()
+	if p == nil {
+		return nil, job.Refuse(job.NoDocument, time.Second, "no configuration is known yet")
+	}
+	q := p.Find(s.Host, s.Path)
+	if q == nil {
+		return nil, job.Refuse(job.NoQueue, 0, "%s%s is no queue of version %d", s.Host, s.Path, p.Version)
+	}
+	if s.Refused != "" {
+		return nil, job.Refuse(job.Unsupported, 0, "%s", s.Refused)
+	}
+	if q.Advised {
+		return nil, job.Refuse(job.Unsupported, 0, "queues with an adviser are not served yet")
+	}
+	j := s.Job
+	j.ID = s.Path[len(q.Prefix):]
+	j.Queue, j.Pool, j.Rank, j.Attempts, j.Stretch, j.Slack = q.Name, q.Pool, q.Rank, q.Attempts, q.Stretch, q.Slack
+	j.Left = longest
+	if q.Timeout > 0 {
+		j.Left = min(j.Left, q.Timeout)
+	}
+	if s.Left > 0 {
+		j.Left = min(longest, s.Left)
+	}
+	if err := j.Check(); err != nil {
+		return nil, job.Refuse(job.BadRequest, 0, "%v", err)
+	}
+	return &j, nil
+}
+
+// send gives a call to the best owner that it was not given to yet, or ends it. The
+// caller holds the lock.
+func (d *Daemon) send(now time.Time, c *call) {
+	for len(c.tried) < route.Tries {
+		vm := d.table.Pick(now, c.job.Rank, c.cores, c.tried)
+		if !vm.IsValid() {
+			break
+		}
+		c.tried = append(c.tried, vm)
+		c.to = vm
+		c.job.Age = now.Sub(c.came)
+		c.job.Left = c.due.Sub(now)
+		if vm == d.set.Mesh {
+			d.book.Submit(now, owner.Key{VM: vm, Inc: d.inc, Call: c.n}, c.job)
+			return
+		}
+		if err := d.hub.Cast(vm, &frame.Hand{Call: c.n, Job: *c.job}); err != nil {
+			d.log.Info("owner unreachable", "job", c.job.ID, "owner", vm, "err", err)
+			d.table.Forget(vm)
+			continue
+		}
+		d.table.Sent(vm, c.cores)
+		return
+	}
+	a := c.a
+	if len(c.tried) == 0 {
+		a = job.Answer{Outcome: job.Refused, Reason: job.NoEndpoint, Retry: time.Second, Detail: "no owner of endpoints is known"}
+	}
+	a.Retry = spread(a.Retry)
+	d.end(c, a)
+}
+
+// spread makes callers that are refused together return apart.
+func spread(d time.Duration) time.Duration {
+	d = min(max(d, leastRetry), mostRetry)
+	return d + rand.N(d)
+}
+
+// resolve takes in an owner's answer; the caller holds the lock.
+func (d *Daemon) resolve(now time.Time, from netip.AddrPort, n uint64, a job.Answer) {
+	c := d.calls[n]
+	if c == nil || c.ended || c.to != from {
+		return
+	}
+	if a.Outcome == job.Refused && again(a.Reason) {
+		c.a = a
+		d.send(now, c)
+		d.perform()
+		return
+	}
+	d.end(c, a)
+}
+
+// again reports whether another owner may do what one refused.
+func again(r job.Reason) bool {
+	return r == job.Overload || r == job.NoEndpoint || r == job.Leaving
+}
+
+// end fixes a call's answer; the caller holds the lock.
+func (d *Daemon) end(c *call, a job.Answer) {
+	if c.ended {
+		return
+	}
+	c.a, c.ended = a, true
+	delete(d.calls, c.n)
+	if d.byID[c.job.ID] == c {
+		delete(d.byID, c.job.ID)
+	}
+	close(c.done)
+}
+
+// quit ends a call that is not wanted any more.
+func (d *Daemon) quit(c *call, a job.Answer) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.drop(c, a)
+	d.perform()
+}
+
+func (d *Daemon) drop(c *call, a job.Answer) {
+	if c.ended {
+		return
+	}
+	d.end(c, a)
+	if c.to == d.set.Mesh {
+		d.book.Cancel(d.now(), owner.Key{VM: c.to, Inc: d.inc, Call: c.n}, a.Detail)
+		return
+	}
+	if c.to.IsValid() {
+		if err := d.hub.Cast(c.to, &frame.Drop{Call: c.n}); err != nil {
+			d.log.Info("owner not told", "job", c.job.ID, "owner", c.to, "err", err) // it stops the job by its deadline or our silence
+		}
+	}
+}
+
+// loseOwner answers the calls that an owner had which is gone. What it started may
+// still run until its leases end, so nobody may be told that it did not.
+func (d *Daemon) loseOwner(_ time.Time, vm netip.AddrPort, _ uint64, why string) {
+	for _, c := range d.calls {
+		if c.to == vm && !c.ended {
+			d.drop(c, job.Answer{Outcome: job.Unknown, Reason: job.Silent, Detail: why})
+		}
+	}
+}
+
+// Cancel implements Door.
+func (d *Daemon) Cancel(host, path string) (bool, job.Answer) {
+	p := d.plan.Load()
+	if p == nil {
+		return false, *job.Refuse(job.NoDocument, time.Second, "no configuration is known yet")
+	}
+	q := p.Find(host, path)
+	if q == nil {
+		return false, *job.Refuse(job.NoQueue, 0, "%s%s is no queue of version %d", host, path, p.Version)
+	}
+	id := path[len(q.Prefix):]
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	c := d.byID[id]
+	if c != nil {
+		d.drop(c, job.Answer{Outcome: job.Unknown, Reason: job.Canceled, Detail: "cancelled by its caller"})
+		d.perform()
+	}
+	d.log.Info("cancel", "job", id, "known", c != nil)
+	return c != nil, job.Answer{Outcome: job.Done}
+}
+
+// Waiting implements Door.
+func (d *Daemon) Waiting(host, path string) (int, job.Answer) {
+	p := d.plan.Load()
+	if p == nil {
+		return 0, *job.Refuse(job.NoDocument, time.Second, "no configuration is known yet")
+	}
+	q := p.Find(host, path)
+	if q == nil {
+		return 0, *job.Refuse(job.NoQueue, 0, "%s%s is no queue of version %d", host, path, p.Version)
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.book.Waiting(q.Name), job.Answer{Outcome: job.Done}
+}
+
+// Leaving implements Door.
+func (d *Daemon) Leaving() bool { return d.leaving.Load() }
+
+// Limits implements Door.
+func (d *Daemon) Limits() (header, body int, idle time.Duration) {
+	p := d.plan.Load()
+	if p == nil {
+		return 0, 0, 0
+	}
+	return p.Header, p.Body, p.Idle
+}
--- a/internal/mesh/frame/msg.go
+++ b/internal/mesh/frame/msg.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"dahliawinch/internal/conf/fold"
+	"dahliawinch/internal/task/batch"
 	"dahliawinch/internal/task/job"
 )
 
@@ -25,6 +26,10 @@
 	kindReply
 	kindHave
 	kindWant
+	kindHand
+	kindTold
+	kindDrop
+	kindLoad
 	kinds
 )
 
@@ -48,6 +53,15 @@
 	Rev     uint64           `msgpack:"r"`           // revision in force here
 	Asof    int64            `msgpack:"a"`
 	Use     map[string]Use   `msgpack:"u,omitempty"` // tenants with quotas
+	Claims  []Claim          `msgpack:"c,omitempty"` // groups of leased endpoints owned here
+}
+
+// Claim says that a VM owns a group of leased endpoints.
+type Claim struct {
+	Group  string   `msgpack:"g"`
+	Fence  uint64   `msgpack:"f"`
+	Giving bool     `msgpack:"l,omitempty"` // another VM is to take it over,
+	Held   []string `msgpack:"h,omitempty"` // but for these endpoints
 }
 
 // Room is how many tasks a VM could start now if it were given them.
@@ -143,6 +157,32 @@
 // Want asks for the revision in force.
 type Want struct{}
 
+// Hand gives a job to the owner of leased endpoints.
+type Hand struct {
+	Call uint64    `msgpack:"c"`
+	Job  batch.Job `msgpack:"j"`
+}
+
+// Told answers a Hand.
+type Told struct {
+	Call   uint64     `msgpack:"c"`
+	Answer job.Answer `msgpack:"a"`
+	Load   Load       `msgpack:"l"`
+}
+
+// Drop takes a Hand back: its caller left, or its time is over.
+type Drop struct {
+	Call uint64 `msgpack:"c"`
+}
+
+// Load tells how busy a VM's leased endpoints are; it overtakes heartbeats.
+type Load struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // the codec reads this tag
+	Free     float32  // cores that a job could use now
+	Total    float32  // cores open to work
+	Ahead    [3]float32
+}
+
 func (*Hello) kind() kind  { return kindHello }
 func (*Beat) kind() kind   { return kindBeat }
 func (*Give) kind() kind   { return kindGive }
@@ -152,6 +192,10 @@
 func (*Reply) kind() kind  { return kindReply }
 func (*Have) kind() kind   { return kindHave }
 func (*Want) kind() kind   { return kindWant }
+func (*Hand) kind() kind   { return kindHand }
+func (*Told) kind() kind   { return kindTold }
+func (*Drop) kind() kind   { return kindDrop }
+func (*Load) kind() kind   { return kindLoad }
 
 // makers builds an empty message of each kind.
 var makers = [kinds]func() Msg{
@@ -164,6 +208,10 @@
 	kindReply:  func() Msg { return &Reply{} },
 	kindHave:   func() Msg { return &Have{} },
 	kindWant:   func() Msg { return &Want{} },
+	kindHand:   func() Msg { return &Hand{} },
+	kindTold:   func() Msg { return &Told{} },
+	kindDrop:   func() Msg { return &Drop{} },
+	kindLoad:   func() Msg { return &Load{} },
 }
 
 // Purpose names the part of the control cost that a message belongs to.
@@ -172,13 +220,14 @@
 var purposes = [kinds]string{
 	kindHello: "link", kindBeat: "beat", kindGive: "forward", kindTook: "forward", kindBack: "forward",
 	kindSubmit: "handoff", kindReply: "handoff", kindHave: "document", kindWant: "document",
+	kindHand: "forward", kindTold: "forward", kindDrop: "forward", kindLoad: "load",
 }
 
 // Reliable reports whether a message must arrive: it is kept until the peer has
 // read it. The others are overtaken by the next of their kind.
 func Reliable(m Msg) bool {
 	switch m.(type) {
-	case *Hello, *Beat, *Want:
+	case *Hello, *Beat, *Want, *Load:
 		return false
 	default:
 		return true
@@ -189,7 +238,7 @@
 // while there is no connection, since the peer waits for it.
 func Answering(m Msg) bool {
 	switch m.(type) {
-	case *Took, *Back, *Reply:
+	case *Took, *Back, *Reply, *Told:
 		return true
 	default:
 		return false
--- a/internal/mesh/view/view.go
+++ b/internal/mesh/view/view.go
@@ -52,6 +52,7 @@
 type View struct {
 	self   netip.AddrPort
 	domain string
+	links  int // to other failure domains, by own choice
 	mu     sync.Mutex
 	all    map[netip.AddrPort]*Member
 	snap   atomic.Pointer[[]*Member]
@@ -60,11 +61,19 @@
 
 // New returns a view that knows only itself.
 func New(self netip.AddrPort, domain string, now time.Time) *View {
-	v := &View{self: self, domain: domain, all: map[netip.AddrPort]*Member{}, began: now}
+	v := &View{self: self, domain: domain, links: FarLinks, all: map[netip.AddrPort]*Member{}, began: now}
 	v.publish()
 	return v
 }
 
+// Links sets how many VMs of other failure domains links are kept to.
+func (v *View) Links(n int) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.links = n
+	v.pick()
+}
+
 // Members returns all other VMs in the order of their addresses.
 func (v *View) Members() []*Member { return *v.snap.Load() }
 
@@ -145,7 +154,7 @@
 	}
 	slices.SortFunc(far, func(a, b ranked) int { return cmp.Compare(b.w, a.w) })
 	picked := map[netip.AddrPort]bool{}
-	for _, f := range far[:min(len(far), FarLinks)] {
+	for _, f := range far[:min(len(far), v.links)] {
 		picked[f.vm] = true
 	}
 	for vm, m := range v.all {
--- /dev/null
+++ b/internal/plat/feed/feed.go
@@ -0,0 +1,117 @@
+// Package feed follows what the platform's store keeps under keys: the configuration,
+// the endpoints, the entry VMs. What was heard stays in force while the store is away.
+package feed
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"time"
+)
+
+// ErrGone is returned by Next when records were dropped that were not read yet.
+var ErrGone = errors.New("records are gone that were not read")
+
+// Update is the newest word on one key.
+type Update[T any] struct {
+	Key   string
+	Value T
+	Gone  bool // the key was removed
+}
+
+// Source gives the records of one topic, decoded.
+type Source[T any] interface {
+	// Newest returns the newest record of each key, and where to read on.
+	Newest(ctx context.Context) (all []Update[T], next int64, err error)
+	// Next returns what was added from a place on, waiting for the first if asked to.
+	Next(ctx context.Context, from int64, wait time.Duration) (more []Update[T], next int64, err error)
+}
+
+// Pace says how often a source is read.
+type Pace struct {
+	Wait  time.Duration // how long one read may wait for news
+	Pause time.Duration // between two reads; calls to the store are priced
+}
+
+const (
+	// backLeast and backMost bound the pause after a failed read. A store that turns
+	// some VMs away and serves others is found again soon.
+	backLeast = 100 * time.Millisecond
+	backMost  = 800 * time.Millisecond
+)
+
+// Follower keeps a copy of a source fresh.
+type Follower[T any] struct {
+	Name   string
+	Source Source[T]
+	Pace   Pace
+	Log    *slog.Logger
+	// Apply takes updates in; whole says that keys which are missing are gone.
+	Apply func(updates []Update[T], whole bool)
+	// Heard is called after each good read.
+	Heard func()
+}
+
+// Run follows until ctx ends.
+func (f *Follower[T]) Run(ctx context.Context) {
+	var next int64
+	known, down := false, false
+	back := backLeast
+	for ctx.Err() == nil {
+		began := time.Now()
+		err := f.read(ctx, &known, &next)
+		switch {
+		case errors.Is(err, ErrGone):
+			f.Log.Info("store history gone", "feed", f.Name, "from", next)
+			known = false
+			continue
+		case err != nil && ctx.Err() == nil:
+			if !down {
+				f.Log.Warn("store lost", "feed", f.Name, "err", err, "from", next)
+			}
+			down = true
+			pause(ctx, back/2+rand.N(back))
+			back = min(2*back, backMost)
+			continue
+		case down:
+			f.Log.Info("store back", "feed", f.Name, "from", next)
+		}
+		down, back = false, backLeast
+		f.Heard()
+		pause(ctx, f.Pace.Pause-time.Since(began))
+	}
+}
+
+func (f *Follower[T]) read(ctx context.Context, known *bool, next *int64) error {
+	if !*known {
+		all, at, err := f.Source.Newest(ctx)
+		if err != nil {
+			return err //nolint:wrapcheck // logged with the feed's name
+		}
+		*known, *next = true, at
+		f.Apply(all, true)
+		return nil
+	}
+	more, at, err := f.Source.Next(ctx, *next, f.Pace.Wait)
+	if err != nil {
+		return err //nolint:wrapcheck // logged with the feed's name
+	}
+	*next = at
+	if len(more) > 0 {
+		f.Apply(more, false)
+	}
+	return nil
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- a/internal/task/job/job.go
+++ b/internal/task/job/job.go
@@ -138,6 +138,8 @@
 	StillRuns   Reason = "running"   // the same submission is still running
 	Withdrawn   Reason = "withdrawn" // its ticket was asked after before its use
 	OutOfBudget Reason = "retries"   // too many refused attempts
+	NoQueue     Reason = "queue"     // no such queue is declared
+	Unsupported Reason = "kind"      // this kind of job is not served here
 )
 
 // Answer is the whole answer to one submission.
--- /dev/null
+++ b/internal/task/owner/job.go
@@ -0,0 +1,87 @@
+package owner
+
+import (
+	"net/netip"
+	"time"
+
+	"dahliawinch/internal/task/batch"
+	"dahliawinch/internal/task/job"
+	"dahliawinch/internal/task/lease"
+)
+
+// Key names a job by the VM that answers its caller.
+type Key struct {
+	VM   netip.AddrPort
+	Inc  uint64 // of that VM
+	Call uint64
+}
+
+// entry is one job from its submission until nothing of it runs.
+type entry struct {
+	*batch.Job
+	key   Key
+	came  time.Time
+	aim   time.Time // the latency objective
+	due   time.Time // the answer is of no use after this
+	steps []step
+	left  int // steps that are not done
+	runs  map[*lease.Run]*lease.Endpoint
+	begun bool // a run of it was confirmed or listed
+	told  bool // the caller has its answer
+	last  time.Time
+}
+
+type step struct {
+	waiting []int // tasks to start, last one first
+	done    int
+	fails   []int
+	nums    []int // highest run number of each task
+	opened  time.Time
+}
+
+func newEntry(now time.Time, key Key, j *batch.Job, work time.Duration) *entry {
+	came := now.Add(-j.Age)
+	e := &entry{
+		Job: j, key: key, came: came, due: now.Add(j.Left), steps: make([]step, len(j.Steps)), left: len(j.Steps),
+		aim:  came.Add(time.Duration(j.Stretch*float64(work)) + j.Slack),
+		runs: map[*lease.Run]*lease.Endpoint{}, last: now,
+	}
+	for i := range e.steps {
+		s := &e.steps[i]
+		n := j.Steps[i].Count
+		s.fails, s.nums, s.waiting = make([]int, n), make([]int, n), make([]int, n)
+		for k := range n {
+			s.waiting[k] = n - 1 - k
+		}
+	}
+	return e
+}
+
+// ready reports whether the steps before a step are done.
+func (e *entry) ready(i int) bool {
+	for _, k := range e.Steps[i].After {
+		if e.steps[k].done < e.Steps[k].Count {
+			return false
+		}
+	}
+	return true
+}
+
+// waits reports whether a task of the job could start if there were room.
+func (e *entry) waits() bool {
+	for i := range e.steps {
+		if len(e.steps[i].waiting) > 0 && e.ready(i) {
+			return true
+		}
+	}
+	return false
+}
+
+// outcome is what an unfinished job's caller is told: refused only when no start can
+// have happened.
+func (e *entry) outcome() job.Outcome {
+	if e.begun || len(e.runs) > 0 {
+		return job.Unknown
+	}
+	return job.Refused
+}
--- /dev/null
+++ b/internal/task/owner/sites.go
@@ -0,0 +1,165 @@
+package owner
+
+import (
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+
+	"dahliawinch/internal/task/lease"
+)
+
+// Own takes over an endpoint with a fence above all that were heard of.
+func (b *Book) Own(in lease.Info, fence uint64) {
+	if s := b.sites[in.ID]; s != nil {
+		if !s.lost {
+			s.Drains, s.Cold = s.Drains || in.Drains, in.Cold
+			s.giving = false
+			return
+		}
+		if len(s.Runs) > 0 {
+			return // first what it ran for this VM must be over
+		}
+		b.remove(in.ID)
+	}
+	s := &site{Endpoint: lease.New(in, fence, b.cfg.Limits)}
+	b.sites[in.ID] = s
+	b.order = append(b.order, s)
+	slices.SortFunc(b.order, func(a, c *site) int { return strings.Compare(a.ID, c.ID) })
+	b.keep()
+	b.cfg.Log.Info("endpoint owned", "endpoint", in.ID, "addr", in.Addr, "domain", in.Domain, "fence", fence)
+	b.wake(s)
+}
+
+// healthSlots is the scale on which the health book lowers what an endpoint may run
+// at once; endpoints run two to four tasks.
+const healthSlots = 4
+
+func (b *Book) keep() {
+	slots := make(map[netip.AddrPort]int, len(b.order))
+	for _, s := range b.order {
+		slots[s.Addr] = healthSlots
+	}
+	b.health.Keep(slots)
+}
+
+func (b *Book) remove(id string) {
+	s := b.sites[id]
+	delete(b.sites, id)
+	b.order = slices.DeleteFunc(b.order, func(x *site) bool { return x == s })
+	b.keep()
+}
+
+// Owned reports whether orders to an endpoint are this VM's to give.
+func (b *Book) Owned(id string) bool {
+	s := b.sites[id]
+	return s != nil && !s.lost
+}
+
+// Held lists the endpoints that this VM has not let go of.
+func (b *Book) Held() (ids []string) {
+	for _, s := range b.order {
+		if !s.lost {
+			ids = append(ids, s.ID)
+		}
+	}
+	return ids
+}
+
+// Drain notes that an endpoint leaves: it gets no new work.
+func (b *Book) Drain(id string) {
+	if s := b.sites[id]; s != nil && !s.Drains {
+		s.Drains = true
+		b.cfg.Log.Info("endpoint leaves", "endpoint", id)
+	}
+}
+
+// Give begins to hand an endpoint over: jobs that have begun may still use it.
+func (b *Book) Give(id string) {
+	if s := b.sites[id]; s != nil {
+		s.giving = true
+	}
+}
+
+// Release lets go of endpoints that are given away and idle, and returns them.
+func (b *Book) Release() (ids []string) {
+	for _, s := range slices.Clone(b.order) {
+		if s.giving && !s.lost && s.Idle() {
+			b.remove(s.ID)
+			ids = append(ids, s.ID)
+		}
+	}
+	return ids
+}
+
+// Lose takes in that another VM has taken an endpoint, or that it is gone. Dead
+// endpoints run nothing; of a taken one the runs end with their lease at the latest.
+func (b *Book) Lose(now time.Time, id string, dead bool, why string) {
+	s := b.sites[id]
+	if s == nil || s.lost {
+		return
+	}
+	b.cfg.Log.Info("endpoint lost", "endpoint", id, "why", why, "runs", len(s.Runs), "fence", s.Fence)
+	s.lost = true
+	s.Quiet()
+	if dead {
+		for _, f := range s.Endpoint.Lost() {
+			b.over(now, s, f, why)
+		}
+	}
+	if len(s.Runs) == 0 {
+		b.remove(id)
+	}
+	b.pump(now)
+}
+
+// Find returns an owned endpoint, or nil.
+func (b *Book) Find(id string) *lease.Endpoint {
+	if s := b.sites[id]; s != nil && !s.lost {
+		return s.Endpoint
+	}
+	return nil
+}
+
+func (b *Book) wake(s *site) {
+	b.acts.Wakes = append(b.acts.Wakes, Wake{s.Endpoint})
+}
+
+// Load is what other VMs need to know to send jobs here.
+type Load struct {
+	Free  float64    // cores that a job could use now
+	Total float64    // cores that are open to work
+	Ahead [3]float64 // core-seconds waiting and running, of ranks up to 0, 1 and any
+}
+
+// Load sums up the state for the other VMs.
+func (b *Book) Load(now time.Time) (l Load) {
+	for _, s := range b.order {
+		if !s.Open() || s.lost || s.giving || b.allowed(now, s) == 0 {
+			continue
+		}
+		l.Total += s.Size.Cores
+		l.Free += max(0, s.Free().Cores)
+	}
+	for _, e := range b.queue {
+		var work float64
+		for i := range e.steps {
+			st := &e.Steps[i]
+			work += float64(len(e.steps[i].waiting)) * st.Need.Cores * b.expect(e.Job, st).Seconds()
+		}
+		for r := min(e.Rank, len(l.Ahead)-1); r < len(l.Ahead); r++ {
+			l.Ahead[r] += work
+		}
+	}
+	return l
+}
+
+// Waiting counts the jobs of a queue of which nothing has started.
+func (b *Book) Waiting(queue string) (n int) {
+	for _, e := range b.queue {
+		if e.Queue == queue && !e.begun && len(e.runs) == 0 {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/task/route/route.go
@@ -0,0 +1,100 @@
+// Package route picks the VM that a job is sent to, from what the owners of endpoints
+// last told of their load.
+//
+// The load pattern it answers: each owner's pool is small, so that bursts fill one while
+// others have room, and what a VM knows of the others is tens of milliseconds old. The
+// wait is therefore predicted from cores and core-seconds with what this VM itself has
+// sent since, and a pool that refuses is followed by the next best.
+package route
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+)
+
+const (
+	// Tries is how many owners are asked before a caller is refused: each costs a
+	// message there and back.
+	Tries = 4
+	// stale is the age at which an owner's word is no longer believed.
+	stale = 400 * time.Millisecond
+	// away is what another failure domain costs in time: two messages.
+	away = 2 * time.Millisecond
+)
+
+// Load is an owner's last word.
+type Load struct {
+	At    time.Time
+	Free  float64    // cores that a job could use
+	Total float64    // cores open to work
+	Ahead [3]float64 // core-seconds before a job of a rank
+	Near  bool       // in this VM's failure domain, or this VM itself
+	sent  float64    // cores of jobs sent there since
+}
+
+// Table of the owners as one VM knows them; the caller serializes all calls.
+type Table struct{ all map[netip.AddrPort]*Load }
+
+// New returns an empty table.
+func New() *Table { return &Table{all: map[netip.AddrPort]*Load{}} }
+
+// Hear takes in an owner's word.
+func (t *Table) Hear(vm netip.AddrPort, l Load) {
+	if l.Total <= 0 {
+		delete(t.all, vm)
+		return
+	}
+	t.all[vm] = &l
+}
+
+// Forget drops a VM.
+func (t *Table) Forget(vm netip.AddrPort) { delete(t.all, vm) }
+
+// Sent notes a job on its way to an owner.
+func (t *Table) Sent(vm netip.AddrPort, cores float64) {
+	if l := t.all[vm]; l != nil {
+		l.sent += cores
+	}
+}
+
+// Pick returns the best owner for a job that was not tried yet; invalid if there is none.
+func (t *Table) Pick(now time.Time, rank int, cores float64, tried []netip.AddrPort) (best netip.AddrPort) {
+	var low time.Duration
+	for vm, l := range t.all {
+		if slices.Contains(tried, vm) || now.Sub(l.At) > stale {
+			continue
+		}
+		w := l.wait(rank, cores)
+		if !best.IsValid() || w < low || (w == low && vm.Compare(best) < 0) {
+			best, low = vm, w
+		}
+	}
+	return best
+}
+
+// mean is the time in which a pool's cores are thought to turn over once.
+const mean = 250 * time.Millisecond
+
+// wait predicts a job's wait at an owner. Full pools rank by how much is ahead, pools
+// with room by how full they would be, so that load spreads before anything waits.
+func (l *Load) wait(rank int, cores float64) time.Duration {
+	ahead := l.Ahead[min(rank, len(l.Ahead)-1)]
+	lack := max(0, cores+l.sent-l.Free)
+	w := time.Duration((ahead/l.Total + lack/l.Total*mean.Seconds()) * float64(time.Second))
+	if !l.Near {
+		w += away
+	}
+	used := 1 - (l.Free-l.sent-cores)/l.Total
+	return w + time.Duration(used*float64(away))
+}
+
+// Known is the number of owners whose word is fresh.
+func (t *Table) Known(now time.Time) (n int) {
+	for _, l := range t.all {
+		if now.Sub(l.At) <= stale {
+			n++
+		}
+	}
+	return n
+}
