A VM claims its own domain's endpoints 0.4 s after its start

Cause: after a loss of all VMs every job was refused for the second that each new VM watched for owners. Change: 0.4 s for groups of the own failure domain, 1.5 s for others.

--- a/internal/mesh/claim/claim.go
+++ b/internal/mesh/claim/claim.go
@@ -14,9 +14,13 @@
 )
 
 const (
-	// settle is how long a VM watches before its first claim: one that just started
-	// would else take endpoints from owners that it has not heard yet.
-	settle = time.Second
+	// settle is how long a VM watches before it claims a group of its own failure
+	// domain, settleFar before one of another: a VM that just started would else take
+	// endpoints from owners that it has not heard yet. Neighbours are heard within
+	// 200 ms, but after a loss of all VMs those of other domains start up to a second
+	// apart. Until the first claim every job is refused.
+	settle    = 400 * time.Millisecond
+	settleFar = 1500 * time.Millisecond
 	// patience is how long a VM of a group's own failure domain must be there before a
 	// VM of another domain hands the group over: it may be one that keeps restarting.
 	patience = 2 * time.Second
@@ -117,7 +121,7 @@
 			}
 			continue
 		}
-		if leaving || rival != nil || now.Sub(b.began) < settle || b.best(g, peers, giving) != b.self {
+		if leaving || rival != nil || !b.settled(now, g) || b.best(g, peers, giving) != b.self {
 			continue
 		}
 		o := &Own{Fence: b.Fence(now)}
@@ -127,6 +131,14 @@
 	return changes
 }
 
+// settled reports whether this VM has watched long enough to claim a group.
+func (b *Book) settled(now time.Time, g Group) bool {
+	if g.Domain == b.domain {
+		return now.Sub(b.began) >= settle
+	}
+	return now.Sub(b.began) >= settleFar
+}
+
 // keep looks at a group that this VM owns.
 func (b *Book) keep(now time.Time, g Group, mine *Own, rival *frame.Claim, leaving bool, peers []Peer) (Change, bool) {
 	switch {
