Jobs wait for an owner for up to 0.6 s instead of being refused

Cause: after a loss of all VMs, callers arrive before the first claims. Change: such jobs wait and are sent when an owner tells its load.

--- a/internal/edge/serve/beat.go
+++ b/internal/edge/serve/beat.go
@@ -191,6 +191,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.silences(now)
+	d.unpark(now)
 	d.book.Tick(now)
 	d.perform()
 }
--- a/internal/edge/serve/daemon.go
+++ b/internal/edge/serve/daemon.go
@@ -71,6 +71,7 @@
 	table  *route.Table
 	calls  map[uint64]*call
 	byID   map[string]*call
+	parked []*call // they wait until an owner is known
 	roster map[string]lease.Info
 	unsure map[string]time.Time // endpoints whose entry is missing, since when
 	since  map[netip.AddrPort]time.Time
--- a/internal/edge/serve/submit.go
+++ b/internal/edge/serve/submit.go
@@ -21,6 +21,10 @@
 	// spread over it, so that they don't return together.
 	leastRetry = 200 * time.Millisecond
 	mostRetry  = 5 * time.Second
+	// ownerWait is how long a job waits while no owner is known, instead of being
+	// refused: after a loss of all VMs the first claims follow the first callers by
+	// about as much, and most jobs can still be answered in time to be of use.
+	ownerWait = 600 * time.Millisecond
 )
 
 // call is a job on its way to its caller's answer.
@@ -130,12 +134,30 @@
 	}
 	a := c.a
 	if len(c.tried) == 0 {
+		if now.Sub(c.came) < ownerWait {
+			d.parked = append(d.parked, c)
+			return
+		}
 		a = job.Answer{Outcome: job.Refused, Reason: job.NoEndpoint, Retry: time.Second, Detail: "no owner of endpoints is known"}
 	}
 	a.Retry = spread(a.Retry)
 	d.end(c, a)
 }
 
+// unpark sends the calls that waited for an owner; the caller holds the lock.
+func (d *Daemon) unpark(now time.Time) {
+	if len(d.parked) == 0 {
+		return
+	}
+	wait := d.parked
+	d.parked = nil
+	for _, c := range wait {
+		if !c.ended {
+			d.send(now, c)
+		}
+	}
+}
+
 // spread makes callers that are refused together return apart.
 func spread(d time.Duration) time.Duration {
 	d = min(max(d, leastRetry), mostRetry)
