A link is dialled again as soon as the peer's own link is up

Cause: after a healed partition a VM heard its peers for a second while its own links still paused, so it could send them no jobs. Change: an incoming link ends the pause.

--- a/internal/mesh/link/hub.go
+++ b/internal/mesh/link/hub.go
@@ -139,6 +139,15 @@
 	return s
 }
 
+// spoken tells the sender to a VM that the VM has opened a link.
+func (h *Hub) spoken(vm netip.AddrPort) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if s := h.out[vm]; s != nil {
+		s.spoken()
+	}
+}
+
 // Reach implements flow.Mesh.
 func (h *Hub) Reach(ctx context.Context, vm netip.AddrPort) (uint64, error) {
 	s := h.sender(vm)
--- a/internal/mesh/link/sender.go
+++ b/internal/mesh/link/sender.go
@@ -26,6 +26,7 @@
 	h    *Hub
 	to   netip.AddrPort
 	wake chan struct{}
+	back chan struct{} // the peer has spoken: no reason to wait with a new connection
 	done chan struct{}
 	once sync.Once
 
@@ -43,7 +44,7 @@
 const mostLoose = 16
 
 func newSender(h *Hub, to netip.AddrPort) *sender {
-	return &sender{h: h, to: to, wake: make(chan struct{}, 1), done: make(chan struct{})}
+	return &sender{h: h, to: to, wake: make(chan struct{}, 1), back: make(chan struct{}, 1), done: make(chan struct{})}
 }
 
 func (s *sender) stop() { s.once.Do(func() { close(s.done) }) }
@@ -76,6 +77,15 @@
 	}
 }
 
+// spoken ends the pause before a new connection: a partition has healed, and until
+// this VM's own link is up it can send the peer nothing though it hears it.
+func (s *sender) spoken() {
+	select {
+	case s.back <- struct{}{}:
+	default:
+	}
+}
+
 // run holds a connection to the peer while there is something to say.
 func (s *sender) run(ctx context.Context) {
 	pause := redial
@@ -103,6 +113,8 @@
 		t := time.NewTimer(pause/2 + rand.N(pause))
 		select {
 		case <-t.C:
+		case <-s.back:
+			pause = redial
 		case <-ctx.Done():
 		}
 		t.Stop()
