--- a/internal/task/owner/book.go
+++ b/internal/task/owner/book.go
@@ -224,10 +224,21 @@
 }
 
 func (b *Book) refuse(key Key, j *batch.Job, why job.Reason, retry time.Duration, detail string) {
-	b.cfg.Log.Info("job refused", "job", j.ID, "by", key.VM, "queue", j.Queue, "reason", string(why), "detail", detail)
+	b.cfg.Log.Info("job refused", "job", j.ID, "by", key.VM, "queue", j.Queue, "rank", j.Rank, "tasks", j.Tasks(), "cores", j.Steps[0].Need.Cores, "reason", string(why), "detail", detail,
+		"queued", len(b.queue), "free", b.freeCores())
 	b.acts.Tells = append(b.acts.Tells, Tell{key, job.Answer{Outcome: job.Refused, Reason: why, Retry: retry, Detail: detail}})
 }
 
+// freeCores are the unused cores of the endpoints that take work.
+func (b *Book) freeCores() (n float64) {
+	for _, s := range b.order {
+		if s.Open() && !s.lost && !s.giving {
+			n += s.Free().Cores
+		}
+	}
+	return n
+}
+
 // possible reports whether each step could start on some endpoint if it were empty.
 func (b *Book) possible(j *batch.Job) bool {
 	for i := range j.Steps {
