Jobs that will miss their objective wait last, and not for long

Cause: a job that could not meet its objective was refused though its late answer is of some use, or it ran before others that could still be in time. Change: such jobs go after all others and are refused when a third of their caller's time is over.

--- a/internal/task/owner/book.go
+++ b/internal/task/owner/book.go
@@ -195,10 +195,14 @@
 	b.note(now, e)
 	wait := b.forecast(now, e)
 	if late := wait - b.patience(e, now); late > 0 && wait > 0 {
+		e.late = true
+		wait = b.forecast(now, e)
+	}
+	if late := wait - b.lastChance(e, now); e.late && late > 0 {
 		b.refuse(key, j, job.Overload, late, "it would wait "+wait.Round(time.Millisecond).String()+", too long by "+late.Round(time.Millisecond).String())
 		return
 	}
-	b.cfg.Log.Info("job taken", "job", j.ID, "by", key.VM, "queue", j.Queue, "rank", j.Rank, "tasks", j.Tasks(), "cores", j.Steps[0].Need.Cores, "work", b.chain(j), "wait", wait, "left", j.Left)
+	b.cfg.Log.Info("job taken", "job", j.ID, "by", key.VM, "queue", j.Queue, "rank", j.Rank, "tasks", j.Tasks(), "cores", j.Steps[0].Need.Cores, "work", b.chain(j), "wait", wait, "late", e.late, "left", j.Left)
 	b.jobs[key] = e
 	b.names[j.ID] = e
 	b.enqueue(e)
@@ -223,6 +227,22 @@
 	return time.Duration((e.Stretch-1)*careful*float64(work)) + e.Slack - overhead - now.Sub(e.came)
 }
 
+// lastChance is how long the tasks of a job that will miss its objective may wait for
+// its answer to be of some use. Most of the time that the caller has is kept: one that is
+// refused in the end must still be able to go elsewhere.
+func (b *Book) lastChance(e *entry, now time.Time) time.Duration {
+	work := b.chain(e.Job)
+	aim := time.Duration(e.Stretch*careful*float64(work)) + e.Slack
+	useful := min(lateFor*aim, time.Duration(holdPart*float64(e.due.Sub(e.came))))
+	return useful - work - overhead - now.Sub(e.came)
+}
+
+// lateFor is up to how many times its objective an answer is of some use.
+const lateFor = 3
+
+// holdPart is the part of a caller's time that a job may wait and then be refused.
+const holdPart = 0.35
+
 func (b *Book) refuse(key Key, j *batch.Job, why job.Reason, retry time.Duration, detail string) {
 	b.cfg.Log.Info("job refused", "job", j.ID, "by", key.VM, "queue", j.Queue, "rank", j.Rank, "tasks", j.Tasks(), "cores", j.Steps[0].Need.Cores, "reason", string(why), "detail", detail,
 		"queued", len(b.queue), "free", b.freeCores())
@@ -266,7 +286,11 @@
 	b.queue = slices.Insert(b.queue, i, e)
 }
 
+// Jobs that miss their objective anyway go last: they use what would stay idle.
 func before(a, c *entry) bool {
+	if a.late != c.late {
+		return c.late
+	}
 	if a.Rank != c.Rank {
 		return a.Rank < c.Rank
 	}
@@ -352,6 +376,12 @@
 			for r, ep := range e.runs { // a stop may be lost
 				b.stop(ep, r)
 			}
+		case !e.begun && len(e.runs) == 0 && b.lastChance(e, now) < 0:
+			b.finish(now, e, job.Answer{Outcome: job.Refused, Reason: job.Overload, Retry: b.patience(e, e.came), Detail: "no room came free in time"})
+		case !e.late && !e.begun && len(e.runs) == 0 && b.patience(e, now) < 0:
+			b.queue = slices.DeleteFunc(b.queue, func(x *entry) bool { return x == e })
+			e.late = true
+			b.enqueue(e)
 		case !now.Before(e.due):
 			b.finish(now, e, job.Answer{Outcome: e.outcome(), Reason: job.Deadline, Detail: "its time ran out"})
 		default:
--- a/internal/task/owner/job.go
+++ b/internal/task/owner/job.go
@@ -28,6 +28,7 @@
 	runs  map[*lease.Run]*lease.Endpoint
 	begun bool // a run of it was confirmed or listed
 	told  bool // the caller has its answer
+	late  bool // it will miss its objective
 	last  time.Time
 }
 
--- a/internal/task/owner/pump.go
+++ b/internal/task/owner/pump.go
@@ -195,9 +195,13 @@
 		}
 	}
 	wait = last - b.chain(e.Job)
-	if e.Rank > 0 && wait > 0 {
-		// Work of higher ranks that comes meanwhile goes first.
-		wait = time.Duration(float64(wait) / max(leastShare, 1-b.pressure(now, e.Rank)))
+	rank := e.Rank
+	if e.late {
+		rank = ranks
+	}
+	if rank > 0 && wait > 0 {
+		// Work that goes first and comes meanwhile.
+		wait = time.Duration(float64(wait) / max(leastShare, 1-b.pressure(now, rank)))
 	}
 	return wait
 }
