Claims wait for known neighbours, and a young VM's refusals are not final

Cause: after a loss of all VMs two VMs of one domain claimed the same endpoints 130 ms apart and the jobs of the first were lost; jobs were refused because only the first owner was known. Change: a VM claims once all known VMs of its domain were heard, or after 1 s; a heartbeat goes to a VM as soon as it is heard; in its first 1.5 s a VM keeps jobs that the owners it knows refuse.

--- a/internal/edge/serve/beat.go
+++ b/internal/edge/serve/beat.go
@@ -49,6 +49,7 @@
 	defer d.mu.Unlock()
 	if c.State == view.Alive && (d.since[c.VM].IsZero() || c.Reborn) {
 		d.since[c.VM] = now
+		_ = d.hub.Cast(c.VM, d.pulse(now)) // it may be about to claim what is owned here
 	}
 	if c.State == view.Gone || c.State == view.Left {
 		delete(d.since, c.VM)
@@ -114,7 +115,7 @@
 		ps = append(ps, claim.Peer{
 			VM: m.VM, Domain: m.Domain, Leaving: m.State == view.Left || m.Beat.Leaving, Since: d.since[m.VM],
 			Live:   (m.State == view.Alive || m.State == view.Suspect) || (m.State == view.Left && now.Sub(m.Heard) < lostAfter),
-			Claims: m.Beat.Claims,
+			Claims: m.Beat.Claims, Listed: m.State == view.Listed,
 		})
 	}
 	return ps
--- a/internal/edge/serve/daemon.go
+++ b/internal/edge/serve/daemon.go
@@ -57,6 +57,7 @@
 	hub    *link.Hub
 	view   *view.View
 	inc    uint64
+	began  time.Time
 	ctx    context.Context //nolint:containedctx // the life of the daemon
 	wg     sync.WaitGroup
 
@@ -91,6 +92,7 @@
 		wakes: map[string]chan struct{}{}, table: route.New(),
 	}
 	now := d.timers.Now()
+	d.began = now
 	d.view = view.New(set.Mesh, set.Domain, now)
 	d.view.Links(farLinks)
 	d.claims = claim.New(set.Mesh, set.Domain, now)
--- a/internal/edge/serve/submit.go
+++ b/internal/edge/serve/submit.go
@@ -25,6 +25,9 @@
 	// refused: after a loss of all VMs the first claims follow the first callers by
 	// about as much, and most jobs can still be answered in time to be of use.
 	ownerWait = 600 * time.Millisecond
+	// joinFor is how long after its start a VM may not know all owners yet, so that the
+	// refusal of those it knows says little.
+	joinFor = 1500 * time.Millisecond
 )
 
 // call is a job on its way to its caller's answer.
@@ -133,11 +136,12 @@
 		return
 	}
 	a := c.a
+	if (len(c.tried) == 0 || now.Sub(d.began) < joinFor) && now.Sub(c.came) < ownerWait {
+		c.tried = c.tried[:0]
+		d.parked = append(d.parked, c)
+		return
+	}
 	if len(c.tried) == 0 {
-		if now.Sub(c.came) < ownerWait {
-			d.parked = append(d.parked, c)
-			return
-		}
 		a = job.Answer{Outcome: job.Refused, Reason: job.NoEndpoint, Retry: time.Second, Detail: "no owner of endpoints is known"}
 	}
 	a.Retry = spread(a.Retry)
--- a/internal/mesh/claim/claim.go
+++ b/internal/mesh/claim/claim.go
@@ -17,10 +17,13 @@
 	// settle is how long a VM watches before it claims a group of its own failure
 	// domain, settleFar before one of another: a VM that just started would else take
 	// endpoints from owners that it has not heard yet. Neighbours are heard within
-	// 200 ms, but after a loss of all VMs those of other domains start up to a second
-	// apart. Until the first claim every job is refused.
-	settle    = 400 * time.Millisecond
-	settleFar = 1500 * time.Millisecond
+	// 200 ms, but after a loss of all VMs they start up to a second apart. Until the
+	// first claim every job waits or is refused.
+	settle = 300 * time.Millisecond
+	// settleAlone applies while a VM of the own domain that is known has not been heard,
+	// settleFar to groups of other domains.
+	settleAlone = time.Second
+	settleFar   = 1500 * time.Millisecond
 	// patience is how long a VM of a group's own failure domain must be there before a
 	// VM of another domain hands the group over: it may be one that keeps restarting.
 	patience = 2 * time.Second
@@ -36,6 +39,7 @@
 	VM      netip.AddrPort
 	Domain  string
 	Live    bool // heard lately
+	Listed  bool // known by name and never heard
 	Leaving bool
 	Since   time.Time // since when it is there
 	Claims  []frame.Claim
@@ -121,7 +125,7 @@
 			}
 			continue
 		}
-		if leaving || rival != nil || !b.settled(now, g) || b.best(g, peers, giving) != b.self {
+		if leaving || rival != nil || !b.settled(now, g, peers) || b.best(g, peers, giving) != b.self {
 			continue
 		}
 		o := &Own{Fence: b.Fence(now)}
@@ -132,11 +136,13 @@
 }
 
 // settled reports whether this VM has watched long enough to claim a group.
-func (b *Book) settled(now time.Time, g Group) bool {
-	if g.Domain == b.domain {
-		return now.Sub(b.began) >= settle
+func (b *Book) settled(now time.Time, g Group, peers []Peer) bool {
+	age := now.Sub(b.began)
+	if g.Domain != b.domain {
+		return age >= settleFar
 	}
-	return now.Sub(b.began) >= settleFar
+	silent := slices.ContainsFunc(peers, func(p Peer) bool { return p.Listed && p.Domain == b.domain })
+	return age >= settleAlone || (age >= settle && !silent)
 }
 
 // keep looks at a group that this VM owns.
