Whole leased VMs in virtual time, with random faults

Cause: the kit must not be needed to replay a failure. Change: stand-ins for leased endpoints and store topics, and the grid that plays VMs, callers and faults between them and judges: no task twice at a time, no refused job that began, no partial answer, every run ends.

--- a/internal/edge/serve/daemon.go
+++ b/internal/edge/serve/daemon.go
@@ -52,7 +52,7 @@
 	hello := frame.Hello{VM: cfg.VM, Inc: cfg.Inc, Domain: cfg.Domain}
 	receive := func(from frame.Hello, m frame.Msg) { d.node.Receive(from, m) }
 	d.hub = link.New(hello, link.TCP, receive, d.meter.Control, log)
-	d.node = NewNode(ctx, cfg, Parts{Platform: plat, Mesh: d.hub, Timers: d.timers, Meter: d.meter, Log: log})
+	d.node = NewNode(ctx, cfg, Parts{Platform: plat, Mesh: d.hub, Timers: d.timers, Clock: timer.Wall{}, Meter: d.meter, Log: log})
 	servers := []struct {
 		at netip.AddrPort
 		s  Server
--- a/internal/edge/serve/node.go
+++ b/internal/edge/serve/node.go
@@ -60,6 +60,7 @@
 	Platform
 	Mesh   Mesh
 	Timers *timer.Service
+	Clock  timer.Clock
 	Meter  *meter.Meter
 	Log    *slog.Logger
 }
@@ -98,7 +99,7 @@
 
 // NewNode returns a node; Start sets it going.
 func NewNode(ctx context.Context, cfg Config, parts Parts) *Node {
-	now := parts.Timers.Now()
+	now := parts.Clock.Now()
 	d := &Node{
 		cfg: cfg, parts: parts, log: parts.Log, began: now, calls: map[uint64]*call{}, byID: map[string]*call{},
 		roster: map[string]lease.Info{}, unsure: map[string]time.Time{}, since: map[netip.AddrPort]time.Time{},
@@ -128,7 +129,7 @@
 // Wait returns when nothing of a closed node runs any more.
 func (d *Node) Wait() { d.wg.Wait() }
 
-func (d *Node) now() time.Time { return d.parts.Timers.Now() }
+func (d *Node) now() time.Time { return d.parts.Clock.Now() }
 
 // Ready reports whether callers may be sent here.
 func (d *Node) Ready() bool {
@@ -263,3 +264,10 @@
 	}
 	d.view.Learn(d.now(), named...)
 }
+
+// Owns reports whether this VM owns a group of endpoints, for tests and the operators.
+func (d *Node) Owns(group string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.claims.Owns(group) != nil
+}
--- /dev/null
+++ b/internal/tool/grid/fault.go
@@ -0,0 +1,153 @@
+package grid
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"dahliawinch/internal/plat/fakes"
+)
+
+// menu is what may go wrong at any moment, together or twice; each entry makes one
+// fault of its own randomness.
+var menu = []struct {
+	name string
+	make func(r *rand.Rand) func(*Grid)
+}{
+	{"kill", func(r *rand.Rand) func(*Grid) {
+		n, down := r.IntN(8), time.Duration(r.IntN(3000))*time.Millisecond
+		return func(g *Grid) {
+			if v := g.VM(n); !v.dead.Load() {
+				g.Restart(v, down)
+			}
+		}
+	}},
+	{"kill owner", func(r *rand.Rand) func(*Grid) {
+		d, down := r.IntN(4), time.Duration(r.IntN(3000))*time.Millisecond
+		return func(g *Grid) {
+			if v := g.Owner(domainName(d)); v != nil {
+				g.Restart(v, down)
+			}
+		}
+	}},
+	{"kill all", func(r *rand.Rand) func(*Grid) {
+		down := time.Duration(500+r.IntN(1500)) * time.Millisecond
+		return func(g *Grid) { g.KillAll(down) }
+	}},
+	{"pause", func(r *rand.Rand) func(*Grid) {
+		n, d := r.IntN(8), time.Duration(300+r.IntN(5000))*time.Millisecond
+		return func(g *Grid) { g.Pause(g.VM(n), d) }
+	}},
+	{"drain", func(r *rand.Rand) func(*Grid) {
+		n := r.IntN(8)
+		return func(g *Grid) {
+			if v := g.VM(n); !v.dead.Load() && !v.Node.Leaving() {
+				g.Drain(v, true)
+			}
+		}
+	}},
+	{"cut", func(r *rand.Rand) func(*Grid) {
+		a, b, d, oneWay := r.IntN(4), r.IntN(4), time.Duration(300+r.IntN(5000))*time.Millisecond, r.IntN(2) == 0
+		return func(g *Grid) {
+			g.Cut(domainName(a), domainName(b), a != b)
+			g.Cut(domainName(b), domainName(a), a != b && !oneWay)
+			time.Sleep(d)
+			g.Cut(domainName(a), domainName(b), false)
+			g.Cut(domainName(b), domainName(a), false)
+		}
+	}},
+	{"isolate", func(r *rand.Rand) func(*Grid) {
+		a, d := r.IntN(4), time.Duration(300+r.IntN(6000))*time.Millisecond
+		return func(g *Grid) {
+			g.Isolate(domainName(a), true)
+			time.Sleep(d)
+			g.Isolate(domainName(a), false)
+		}
+	}},
+	{"store away", func(r *rand.Rand) func(*Grid) {
+		d := time.Duration(300+r.IntN(6000)) * time.Millisecond
+		return func(g *Grid) {
+			for i := range g.Domains {
+				g.Away(domainName(i), true)
+			}
+			time.Sleep(d)
+			for i := range g.Domains {
+				g.Away(domainName(i), false)
+			}
+		}
+	}},
+	{"history gone", func(*rand.Rand) func(*Grid) {
+		return func(g *Grid) {
+			g.Plans.Compact()
+			g.Roster.Compact()
+			g.Named.Compact()
+		}
+	}},
+	{"endpoint crashes", func(r *rand.Rand) func(*Grid) {
+		n := r.IntN(48)
+		return func(g *Grid) {
+			e := g.Endpoint(n)
+			e.Crash()
+			time.Sleep(4 * time.Second)
+			g.Roster.Remove(e.ID)
+		}
+	}},
+	{"manners", func(r *rand.Rand) func(*Grid) {
+		m := []fakes.Manners{
+			{Slow: 6}, {Fail: true}, {Hang: true}, {Mute: true}, {Ill: true},
+			{Late: 0.1, Delay: time.Duration(2+r.IntN(4)) * time.Second}, {Late: 0.4, Delay: time.Duration(200+r.IntN(2000)) * time.Millisecond},
+		}[r.IntN(7)]
+		from, n, d := r.IntN(40), 1+r.IntN(8), time.Duration(500+r.IntN(5000))*time.Millisecond
+		return func(g *Grid) {
+			for i := range n {
+				g.Endpoint(from + i).Set(m)
+			}
+			time.Sleep(d)
+			for i := range n {
+				g.Endpoint(from + i).Set(fakes.Manners{})
+			}
+		}
+	}},
+	{"endpoint leaves", func(r *rand.Rand) func(*Grid) {
+		n := r.IntN(48)
+		return func(g *Grid) {
+			e := g.Endpoint(n)
+			in := e.Info
+			in.Drains = true
+			g.Roster.Put(in.ID, in)
+			time.Sleep(4 * time.Second)
+			e.Crash()
+			g.Roster.Remove(in.ID)
+		}
+	}},
+}
+
+// KillAll kills every VM at once and starts them again, some tenths of a second apart.
+func (g *Grid) KillAll(down time.Duration) {
+	vms := make([]*VM, 0, g.VMs)
+	for i := range g.VMs {
+		if v := g.VM(i); !v.dead.Load() {
+			g.Kill(v)
+			vms = append(vms, v)
+		}
+	}
+	time.Sleep(down)
+	for _, v := range vms {
+		g.Boot(v.Mesh, v.Domain)
+		time.Sleep(60 * time.Millisecond)
+	}
+}
+
+// Random draws a sequence of faults from a seed; the names tell what it was.
+func Random(seed uint64, span time.Duration) (faults []Fault, names string) {
+	r := rand.New(rand.NewPCG(seed, 4242))
+	var b strings.Builder
+	for range 2 + r.IntN(4) {
+		m := menu[r.IntN(len(menu))]
+		at := 2*time.Second + time.Duration(r.Int64N(int64(span)))
+		faults = append(faults, Fault{At: at, Do: m.make(r)})
+		fmt.Fprintf(&b, "%s at %s; ", m.name, at.Round(time.Millisecond))
+	}
+	return faults, b.String()
+}
--- /dev/null
+++ b/internal/tool/grid/grid.go
@@ -0,0 +1,300 @@
+package grid
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"dahliawinch/internal/base/meter"
+	"dahliawinch/internal/base/timer"
+	"dahliawinch/internal/conf/plan"
+	"dahliawinch/internal/edge/serve"
+	"dahliawinch/internal/plat/fakes"
+	"dahliawinch/internal/task/job"
+	"dahliawinch/internal/task/lease"
+)
+
+// Setup is a deployment and its load.
+type Setup struct {
+	Domains   int
+	VMs       int
+	Endpoints int
+	Kinds     []Kind
+	Load      float64 // jobs per second
+	Warm      time.Duration
+	Span      time.Duration // measured after Warm
+	Seed      uint64
+	// Rate scales the load of a kind at a time since the start; nil is 1 throughout.
+	Rate   func(kind int, at time.Duration) float64
+	Faults []Fault
+	Log    io.Writer
+}
+
+// Fault does something to the grid at a time since its start.
+type Fault struct {
+	At time.Duration
+	Do func(*Grid)
+}
+
+// Limits of the endpoints.
+var Limits = lease.Limits{Hold: time.Second, Stop: 50 * time.Millisecond}
+
+// Users are the users' deployments: 8 VMs, 48 endpoints of 64 or 96 cores, and three
+// kinds of job that fill 70 % of them at a load of 140 jobs per second.
+func Users(load float64) Setup {
+	return Setup{
+		Domains: 4, VMs: 8, Endpoints: 48, Kinds: Three(), Load: load,
+		Warm: 3 * time.Second, Span: 12 * time.Second, Seed: 1,
+	}
+}
+
+// Grid is a deployment in play.
+type Grid struct {
+	Setup
+	Judge  *Judge
+	Plans  *fakes.Topic[plan.Plan]
+	Roster *fakes.Topic[lease.Info]
+	Named  *fakes.Topic[serve.VM]
+
+	ctx    context.Context //nolint:containedctx // the life of the grid
+	end    context.CancelFunc
+	wg     sync.WaitGroup
+	began  time.Time
+	r      *rand.Rand
+	serial atomic.Uint64
+
+	mu        sync.Mutex
+	vms       []*VM
+	cuts      map[[2]string]bool
+	away      map[string]bool // failure domains that don't reach the store
+	endpoints map[string]*fakes.Leased
+	order     []string
+	results   []Result
+}
+
+func domainName(n int) string { return fmt.Sprintf("fd-%c", 'a'+n) }
+
+// Play runs a setup to its end; it must be called inside a synctest bubble.
+func Play(set Setup) *Grid {
+	g := &Grid{
+		Setup: set, Judge: newJudge(), r: rand.New(rand.NewPCG(set.Seed, 99)), began: time.Now(),
+		Plans: fakes.NewTopic[plan.Plan](), Roster: fakes.NewTopic[lease.Info](), Named: fakes.NewTopic[serve.VM](),
+		cuts: map[[2]string]bool{}, away: map[string]bool{}, endpoints: map[string]*fakes.Leased{},
+	}
+	g.ctx, g.end = context.WithCancel(context.Background())
+	g.build()
+	for _, f := range set.Faults {
+		g.wg.Add(1)
+		go func() {
+			defer g.wg.Done()
+			time.Sleep(f.At)
+			f.Do(g)
+		}()
+	}
+	g.load()
+	g.finish()
+	return g
+}
+
+func (g *Grid) build() {
+	p := plan.Plan{Version: 1}
+	for _, k := range g.Kinds {
+		p.Queues = append(p.Queues, k.queue())
+	}
+	g.Plans.Put("config", p)
+	for i := range g.Endpoints {
+		cores := 64.0
+		if i%3 == 2 {
+			cores = 96
+		}
+		g.AddEndpoint(domainName(i%g.Domains), cores)
+	}
+	for i, a := range fakes.Addrs(20, g.VMs) {
+		g.Boot(a, domainName(i%g.Domains))
+	}
+}
+
+// AddEndpoint starts an endpoint and lists it.
+func (g *Grid) AddEndpoint(domain string, cores float64) *fakes.Leased {
+	g.mu.Lock()
+	n := len(g.order)
+	id := fmt.Sprintf("ep-%03d", n)
+	in := lease.Info{
+		ID: id, Addr: fakes.Addrs(10, n+1)[n], Domain: domain, Pool: pool,
+		Labels: []string{fmt.Sprintf("rack-%d", n/6)}, Size: job.Size{Cores: cores, Memory: 128},
+	}
+	e := fakes.NewLeased(in, Limits, g.Judge, time.Duration(n)*time.Second, g.Seed+uint64(n))
+	g.endpoints[id] = e
+	g.order = append(g.order, id)
+	g.mu.Unlock()
+	g.Roster.Put(id, in)
+	return e
+}
+
+// Boot starts a VM; at an address that had one, it is a new incarnation.
+func (g *Grid) Boot(at netip.AddrPort, domain string) *VM {
+	v := &VM{Mesh: at, Domain: domain, Inc: g.serial.Add(1), clock: &clock{}}
+	ctx, cancel := context.WithCancel(g.ctx)
+	v.cancel = cancel
+	out := g.Log
+	if out == nil {
+		out = io.Discard
+	}
+	log := slog.New(slog.NewTextHandler(out, &slog.HandlerOptions{Level: slog.LevelInfo})).With("vm", at)
+	timers := timer.New(v.clock)
+	v.Node = serve.NewNode(ctx, serve.Config{VM: at, Domain: domain, Inc: v.Inc, Limits: Limits, Far: 2}, serve.Parts{
+		Platform: serve.Platform{
+			Agent: &hands{g, v}, Plans: &seen[plan.Plan]{g.Plans, g, v}, Endpoints: &seen[lease.Info]{g.Roster, g, v},
+			VMs: &registry{seen[serve.VM]{g.Named, g, v}},
+		},
+		Mesh: &post{g: g, from: v, links: map[*VM]*link{}}, Timers: timers, Clock: timer.Wall{}, Meter: meter.New(), Log: log,
+	})
+	g.mu.Lock()
+	g.vms = append(g.vms, v)
+	g.mu.Unlock()
+	g.wg.Add(1)
+	go func() {
+		defer g.wg.Done()
+		timers.Run(ctx)
+	}()
+	v.ready.Store(true)
+	v.Node.Start()
+	return v
+}
+
+// VM returns the newest incarnation of the n-th VM.
+func (g *Grid) VM(n int) *VM { return g.at(fakes.Addrs(20, g.VMs)[n]) }
+
+func (g *Grid) at(a netip.AddrPort) (vm *VM) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, v := range g.vms {
+		if v.Mesh == a {
+			vm = v
+		}
+	}
+	return vm
+}
+
+// Owner returns the VM that owns an endpoint of a failure domain, or nil.
+func (g *Grid) Owner(domain string) *VM {
+	g.mu.Lock()
+	vms := append([]*VM(nil), g.vms...)
+	g.mu.Unlock()
+	for _, v := range vms {
+		if !v.dead.Load() && v.Node.Owns(domain) {
+			return v
+		}
+	}
+	return nil
+}
+
+// Endpoint returns the n-th endpoint.
+func (g *Grid) Endpoint(n int) *fakes.Leased {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.endpoints[g.order[n]]
+}
+
+func (g *Grid) endpoint(id string) *fakes.Leased {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.endpoints[id]
+}
+
+// Kill ends a VM without a word.
+func (g *Grid) Kill(v *VM) {
+	v.ready.Store(false)
+	v.dead.Store(true)
+	v.cancel()
+	v.Node.Close()
+}
+
+// Restart kills a VM and starts it again after a while.
+func (g *Grid) Restart(v *VM, after time.Duration) {
+	g.Kill(v)
+	time.Sleep(after)
+	g.Boot(v.Mesh, v.Domain)
+}
+
+// Drain ends a VM as SIGTERM does and starts it again.
+func (g *Grid) Drain(v *VM, again bool) {
+	go func() {
+		time.Sleep(2 * time.Second) // the balancer notices at its second look
+		v.ready.Store(false)
+	}()
+	ctx, cancel := context.WithTimeout(g.ctx, 5200*time.Millisecond)
+	defer cancel()
+	v.Node.Drain(ctx)
+	time.Sleep(3 * between) // what was sent last is read
+	g.Kill(v)
+	if again {
+		g.Boot(v.Mesh, v.Domain)
+	}
+}
+
+// Pause stops a VM for a while.
+func (g *Grid) Pause(v *VM, d time.Duration) { v.clock.pause(d) }
+
+// Cut stops all messages from one failure domain to another, or lets them pass again.
+func (g *Grid) Cut(from, to string, cut bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.cuts[[2]string{from, to}] = cut
+}
+
+// Isolate cuts a failure domain off from all others and the store, or heals the cut.
+func (g *Grid) Isolate(domain string, cut bool) {
+	for i := range g.Domains {
+		if o := domainName(i); o != domain {
+			g.Cut(domain, o, cut)
+			g.Cut(o, domain, cut)
+		}
+	}
+	g.Away(domain, cut)
+}
+
+// Away takes the store away from a failure domain or brings it back.
+func (g *Grid) Away(domain string, away bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.away[domain] = away
+}
+
+func (g *Grid) isCut(from, to string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.cuts[[2]string{from, to}]
+}
+
+func (g *Grid) storeless(domain string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.away[domain]
+}
+
+// settleFor is how long the grid goes on after the load, so that late orders are
+// carried out and what is judged has happened.
+const settleFor = 5 * time.Second
+
+func (g *Grid) finish() {
+	time.Sleep(settleFor)
+	g.mu.Lock()
+	vms := append([]*VM(nil), g.vms...)
+	g.mu.Unlock()
+	for _, v := range vms {
+		v.dead.Store(true)
+		v.Node.Close()
+	}
+	g.end()
+	for _, v := range vms {
+		v.Node.Wait()
+	}
+	g.wg.Wait()
+}
--- /dev/null
+++ b/internal/tool/grid/load.go
@@ -0,0 +1,274 @@
+package grid
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"dahliawinch/internal/conf/plan"
+	"dahliawinch/internal/edge/serve"
+	"dahliawinch/internal/plat/fakes"
+	"dahliawinch/internal/task/batch"
+	"dahliawinch/internal/task/job"
+)
+
+// pool is the name of the endpoints' pool.
+const pool = "pool"
+
+// host is the callers' name for the service.
+const host = "service.example"
+
+// Kind is a kind of job.
+type Kind struct {
+	Name  string
+	Rank  int
+	Share float64 // of all jobs
+	Width int     // mean number of tasks
+	Work  time.Duration
+	Worth float64 // of a job of mean size, answered in time
+}
+
+// The latency objective of the users' queues: so many times the work, and so much more.
+const (
+	stretch = 1.6
+	slack   = 60 * time.Millisecond
+	// patience of callers, from one to two times this.
+	deadline = 1800 * time.Millisecond
+)
+
+// Three are the users' kinds of job.
+func Three() []Kind {
+	return []Kind{
+		{Name: "urgent", Rank: 0, Share: 0.245, Width: 8, Work: 60 * time.Millisecond, Worth: 0.0291},
+		{Name: "long", Rank: 2, Share: 0.044, Width: 4, Work: 900 * time.Millisecond, Worth: 0.16},
+		{Name: "plain", Rank: 1, Share: 0.711, Width: 2, Work: 200 * time.Millisecond, Worth: 0.01},
+	}
+}
+
+func (k Kind) queue() plan.Queue {
+	return plan.Queue{Name: k.Name, Host: host, Prefix: "/" + k.Name + "/", Pool: pool, Rank: k.Rank, Attempts: 3, Stretch: stretch, Slack: slack}
+}
+
+// Result is one job as its caller saw it.
+type Result struct {
+	Kind    int
+	At      time.Duration // since the start
+	Took    time.Duration
+	Aim     time.Duration
+	Answer  job.Answer
+	Domain  string
+	Unsound bool // it can't be done
+}
+
+// InAim reports whether the job was done within its objective.
+func (r *Result) InAim() bool { return r.Answer.Outcome == job.Done && r.Took <= r.Aim }
+
+// useful is up to how many times its objective an answer is of some use.
+const useful = 3
+
+// Late reports whether the job was done too late, but not uselessly.
+func (r *Result) Late() bool {
+	return r.Answer.Outcome == job.Done && r.Took > r.Aim && r.Took <= useful*r.Aim
+}
+
+// lognormal draws around a mean.
+func lognormal(r *rand.Rand, mean, sigma float64) float64 {
+	return mean * math.Exp(sigma*r.NormFloat64()-sigma*sigma/2)
+}
+
+// load submits jobs until the span is over and waits for their answers.
+func (g *Grid) load() {
+	done := make(chan struct{})
+	n := 0
+	total := g.Warm + g.Span
+	for at := time.Since(g.began); at < total; at = time.Since(g.began) {
+		k := g.kind()
+		rate := 1.0
+		if g.Rate != nil {
+			rate = g.Rate(k, at)
+		}
+		// Kinds with a raised rate come several at a time in the mean.
+		for range poisson(g.r, rate) {
+			n++
+			j, aim := g.draw(k, n)
+			go func() {
+				g.submit(k, j, aim)
+				done <- struct{}{}
+			}()
+		}
+		time.Sleep(time.Duration(g.r.ExpFloat64() / g.Load * float64(time.Second)))
+	}
+	for range n {
+		<-done
+	}
+}
+
+func poisson(r *rand.Rand, mean float64) (n int) {
+	if mean == 1 {
+		return 1
+	}
+	whole := int(mean)
+	if r.Float64() < mean-float64(whole) {
+		whole++
+	}
+	return whole
+}
+
+func (g *Grid) kind() int {
+	x := g.r.Float64()
+	for i, k := range g.Kinds {
+		if x -= k.Share; x < 0 {
+			return i
+		}
+	}
+	return len(g.Kinds) - 1
+}
+
+// draw makes a job whose tasks' work differs a little and is declared wrongly.
+func (g *Grid) draw(kind, n int) (batch.Job, time.Duration) {
+	k := g.Kinds[kind]
+	width := max(1, int(math.Round(lognormal(g.r, float64(k.Width), 0.4))))
+	cores := min(41, lognormal(g.r, 27, 0.2))
+	work := lognormal(g.r, float64(k.Work), 0.4)
+	told := work * lognormal(g.r, 1, 0.4)
+	j := batch.Job{ID: fmt.Sprintf("%016x", n), Spec: k.Name, Steps: []batch.Step{{
+		Count: width, Need: job.Size{Cores: cores, Memory: 0.0625}, Run: time.Duration(told),
+	}}}
+	longest := 0.0
+	for i := range width {
+		w := lognormal(g.r, work, 0.15)
+		longest = max(longest, w)
+		g.Judge.Expect(batch.Task{Job: j.ID, Index: i}.String(), fakes.Work{Need: j.Steps[0].Need, Run: time.Duration(w)})
+	}
+	return j, time.Duration(stretch*longest) + slack
+}
+
+// submit plays a caller: the balancer picks a VM of its failure domain, or of any.
+func (g *Grid) submit(kind int, j batch.Job, aim time.Duration) {
+	began := time.Now()
+	domain := domainName(g.rand(g.Domains))
+	res := Result{Kind: kind, At: began.Sub(g.began), Aim: aim, Domain: domain}
+	v := g.entry(domain)
+	left := deadline + time.Duration(g.rand(int(deadline)))
+	if v == nil {
+		res.Answer = job.Answer{Outcome: job.Unknown, Reason: "no VM"}
+	} else {
+		ctx, cancel := context.WithTimeout(g.ctx, left+time.Second)
+		out := make(chan job.Answer, 1)
+		go func() {
+			v.clock.gate()
+			out <- v.Node.Submit(ctx, serve.Submission{Host: host, Path: "/" + g.Kinds[kind].Name + "/" + j.ID, Job: j, Left: left})
+		}()
+		res.Answer = g.await(v, out)
+		cancel()
+	}
+	res.Took = time.Since(began)
+	g.Judge.Answered(j.ID, j.Tasks(), res.Answer)
+	g.mu.Lock()
+	g.results = append(g.results, res)
+	g.mu.Unlock()
+}
+
+// deadLook is how often a caller notices that its VM has died.
+const deadLook = 5 * time.Millisecond
+
+func (g *Grid) await(v *VM, out <-chan job.Answer) job.Answer {
+	t := time.NewTicker(deadLook)
+	defer t.Stop()
+	for {
+		select {
+		case a := <-out:
+			if v.dead.Load() {
+				return job.Answer{Outcome: job.Unknown, Reason: "VM died"}
+			}
+			return a
+		case <-t.C:
+			if v.dead.Load() {
+				return job.Answer{Outcome: job.Unknown, Reason: "VM died"}
+			}
+		}
+	}
+}
+
+func (g *Grid) rand(n int) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return rand.New(rand.NewPCG(g.Seed, g.serial.Add(1))).IntN(n)
+}
+
+// entry picks a VM that takes callers, of a failure domain if one does.
+func (g *Grid) entry(domain string) *VM {
+	g.mu.Lock()
+	var near, all []*VM
+	for _, v := range g.vms {
+		if v.dead.Load() || !v.ready.Load() {
+			continue
+		}
+		all = append(all, v)
+		if v.Domain == domain {
+			near = append(near, v)
+		}
+	}
+	g.mu.Unlock()
+	if len(near) == 0 {
+		near = all
+	}
+	if len(near) == 0 {
+		return nil
+	}
+	return near[g.rand(len(near))]
+}
+
+// Count is how a kind's jobs ended.
+type Count struct {
+	Asked, InAim, Late, Refused, Failed int
+}
+
+// Share is the part of jobs within their objective.
+func (c Count) Share() float64 { return float64(c.InAim) / float64(max(1, c.Asked)) }
+
+// Counts sums up the jobs of a kind that were submitted in a span since the start; a
+// negative kind stands for all.
+func (g *Grid) Counts(kind int, from, to time.Duration) (c Count) {
+	for i := range g.results {
+		r := &g.results[i]
+		if (kind >= 0 && r.Kind != kind) || r.At < from || r.At >= to {
+			continue
+		}
+		c.Asked++
+		switch {
+		case r.InAim():
+			c.InAim++
+		case r.Late():
+			c.Late++
+		case r.Answer.Outcome == job.Refused:
+			c.Refused++
+		default:
+			c.Failed++
+		}
+	}
+	return c
+}
+
+// Earned is the worth of a span's answers over what all in time would be worth; late
+// ones count a fifth.
+func (g *Grid) Earned(from, to time.Duration) float64 {
+	got, all := 0.0, 0.0
+	for i := range g.results {
+		r := &g.results[i]
+		if r.At < from || r.At >= to {
+			continue
+		}
+		w := g.Kinds[r.Kind].Worth
+		all += w
+		switch {
+		case r.InAim():
+			got += w
+		case r.Late():
+			got += w / 5
+		}
+	}
+	return got / max(all, 1e-9)
+}
--- /dev/null
+++ b/internal/tool/grid/net.go
@@ -0,0 +1,269 @@
+// Package grid plays whole entry VMs on leased endpoints between small stand-ins, under
+// load and faults, in the virtual time of testing/synctest.
+package grid
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"dahliawinch/internal/edge/serve"
+	"dahliawinch/internal/mesh/frame"
+	"dahliawinch/internal/plat/agent"
+	"dahliawinch/internal/plat/fakes"
+	"dahliawinch/internal/plat/feed"
+	"dahliawinch/internal/task/lease"
+)
+
+// One-way delays between VMs and to endpoints.
+const (
+	within  = 100 * time.Microsecond // a failure domain
+	between = 900 * time.Microsecond // failure domains
+	storing = 4 * time.Millisecond   // an answer of the store
+)
+
+// clock is a VM's clock. While the VM is paused its timers stand still, and so does
+// whatever passes a gate: orders, answers and messages.
+type clock struct {
+	mu    sync.Mutex
+	until time.Time
+}
+
+// Now implements timer.Clock for the timers.
+func (c *clock) Now() time.Time {
+	c.gate()
+	return time.Now()
+}
+
+// gate waits until the VM runs.
+func (c *clock) gate() {
+	for {
+		c.mu.Lock()
+		d := time.Until(c.until)
+		c.mu.Unlock()
+		if d <= 0 {
+			return
+		}
+		time.Sleep(d)
+	}
+}
+
+func (c *clock) pause(d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.until = time.Now().Add(d)
+}
+
+// VM is one entry VM of the grid.
+type VM struct {
+	Mesh   netip.AddrPort
+	Domain string
+	Inc    uint64
+	Node   *serve.Node
+	clock  *clock
+	cancel context.CancelFunc
+	dead   atomic.Bool
+	ready  atomic.Bool // the balancer sends callers
+	orders atomic.Int64
+}
+
+var (
+	errCut  = errors.New("cut off")
+	errDead = errors.New("the VM is dead")
+)
+
+// link carries messages from one VM to one incarnation of another, in order.
+type link struct {
+	g        *Grid
+	from, to *VM
+	queue    chan parcel
+}
+
+type parcel struct {
+	at time.Time
+	m  frame.Msg
+}
+
+// linkRoom is how many messages may be on their way; more count as no link.
+const linkRoom = 20_000
+
+// healed is how long after a cut kept messages go on.
+const healed = 20 * time.Millisecond
+
+func (l *link) run() {
+	defer l.g.wg.Done()
+	for {
+		select {
+		case p := <-l.queue:
+			time.Sleep(time.Until(p.at))
+			for l.g.isCut(l.from.Domain, l.to.Domain) && !l.to.dead.Load() && l.g.ctx.Err() == nil {
+				if !frame.Reliable(p.m) {
+					break
+				}
+				time.Sleep(healed)
+			}
+			if l.to.dead.Load() || l.g.isCut(l.from.Domain, l.to.Domain) {
+				continue
+			}
+			l.to.clock.gate() // a paused VM reads later
+			l.to.Node.Receive(frame.Hello{VM: l.from.Mesh, Inc: l.from.Inc, Domain: l.from.Domain}, p.m)
+		case <-l.g.ctx.Done():
+			return
+		}
+	}
+}
+
+// post is the mesh of one VM.
+type post struct {
+	g     *Grid
+	from  *VM
+	mu    sync.Mutex
+	links map[*VM]*link
+}
+
+// Cast implements serve.Mesh.
+func (p *post) Cast(to netip.AddrPort, m frame.Msg) error {
+	vm := p.g.at(to)
+	if vm == nil || vm.dead.Load() || p.from.dead.Load() {
+		return errDead
+	}
+	p.mu.Lock()
+	l := p.links[vm]
+	if l == nil {
+		l = &link{g: p.g, from: p.from, to: vm, queue: make(chan parcel, linkRoom)}
+		p.links[vm] = l
+		p.g.wg.Add(1)
+		go l.run()
+	}
+	p.mu.Unlock()
+	select {
+	case l.queue <- parcel{time.Now().Add(delay(p.from.Domain, vm.Domain)), m}:
+		return nil
+	default:
+		return errCut
+	}
+}
+
+func delay(a, b string) time.Duration {
+	if a == b {
+		return within
+	}
+	return between
+}
+
+// hands reach the endpoints from one VM.
+type hands struct {
+	g    *Grid
+	from *VM
+}
+
+// reach brings an order to an endpoint, if it is not cut off, and its answer back.
+func (h *hands) reach(ctx context.Context, to agent.Target, do func(*fakes.Leased) error) error {
+	h.from.clock.gate()
+	if h.from.dead.Load() {
+		return errDead
+	}
+	h.from.orders.Add(1)
+	e := h.g.endpoint(to.ID)
+	d := delay(h.from.Domain, e.Domain)
+	time.Sleep(d)
+	if h.g.isCut(h.from.Domain, e.Domain) {
+		<-ctx.Done()
+		return errCut
+	}
+	err := do(e)
+	time.Sleep(d)
+	if h.g.isCut(e.Domain, h.from.Domain) {
+		<-ctx.Done()
+		return errCut
+	}
+	h.from.clock.gate()
+	return err
+}
+
+// Start implements agent.Agent.
+func (h *hands) Start(ctx context.Context, to agent.Target, o agent.Start) error {
+	return h.reach(ctx, to, func(e *fakes.Leased) error { return e.Start(ctx, to.ID, o) })
+}
+
+// Stop implements agent.Agent.
+func (h *hands) Stop(ctx context.Context, to agent.Target, n lease.Name, fence uint64) error {
+	return h.reach(ctx, to, func(e *fakes.Leased) error { return e.Stop(ctx, to.ID, n, fence) })
+}
+
+// Renew implements agent.Agent.
+func (h *hands) Renew(ctx context.Context, to agent.Target, o agent.Renew) (r lease.Report, err error) {
+	err = h.reach(ctx, to, func(e *fakes.Leased) (err error) {
+		r, err = e.Renew(ctx, to.ID, o)
+		return err
+	})
+	return r, err
+}
+
+// Forget implements agent.Agent.
+func (h *hands) Forget(agent.Target) {}
+
+// seen is a topic as one VM reaches it.
+type seen[T any] struct {
+	t    *fakes.Topic[T]
+	g    *Grid
+	from *VM
+}
+
+func (s *seen[T]) reach() error {
+	s.from.clock.gate()
+	time.Sleep(storing)
+	if s.g.storeless(s.from.Domain) {
+		return fakes.ErrStore
+	}
+	return nil
+}
+
+// Newest implements feed.Source.
+func (s *seen[T]) Newest(ctx context.Context) ([]feed.Update[T], int64, error) {
+	if err := s.reach(); err != nil {
+		return nil, 0, err
+	}
+	us, next, err := s.t.Newest(ctx)
+	if err != nil {
+		return nil, 0, fmt.Errorf("newest: %w", err)
+	}
+	return us, next, nil
+}
+
+// Next implements feed.Source.
+func (s *seen[T]) Next(ctx context.Context, from int64, wait time.Duration) ([]feed.Update[T], int64, error) {
+	if err := s.reach(); err != nil {
+		return nil, from, err
+	}
+	us, next, err := s.t.Next(ctx, from, wait)
+	if err != nil {
+		return nil, from, fmt.Errorf("next: %w", err)
+	}
+	return us, next, nil
+}
+
+// registry is the VMs' topic as one VM reaches it.
+type registry struct{ seen[serve.VM] }
+
+// Join implements serve.Registry.
+func (r *registry) Join(_ context.Context, vm serve.VM) error {
+	if err := r.reach(); err != nil {
+		return err
+	}
+	r.t.Put(vm.Mesh.String(), vm)
+	return nil
+}
+
+// Leave implements serve.Registry.
+func (r *registry) Leave(_ context.Context, vm serve.VM) error {
+	if err := r.reach(); err != nil {
+		return err
+	}
+	r.t.Remove(vm.Mesh.String())
+	return nil
+}
