--- /dev/null
+++ b/internal/mesh/claim/claim_test.go
@@ -0,0 +1,93 @@
+package claim
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"dahliawinch/internal/mesh/frame"
+)
+
+var (
+	t0 = time.Unix(1_700_000_000, 0)
+	a  = netip.MustParseAddrPort("10.0.0.1:1")
+	b  = netip.MustParseAddrPort("10.0.0.2:1")
+	gs = []Group{{Name: "x", Domain: "x"}, {Name: "y", Domain: "y"}}
+)
+
+func TestOwnDomainFirstOthersLater(t *testing.T) {
+	is := is.New(t)
+	k := New(a, "x", t0)
+	is.Equal(len(k.Decide(t0.Add(settle/2), false, gs, nil)), 0)
+	cs := k.Decide(t0.Add(settle), false, gs, nil)
+	is.Equal(len(cs), 1)
+	is.Equal(cs[0].Group, "x")
+	cs = k.Decide(t0.Add(settleFar), false, gs, nil)
+	is.Equal(len(cs), 1) // nobody else is there for y
+	is.Equal(cs[0].Group, "y")
+	is.True(cs[0].Fence > k.Owns("x").Fence)
+}
+
+// Symptom: after a loss of all VMs the jobs of a domain fail twice. Sequence: two of its
+// VMs start 130 ms apart; the first claims the endpoints, then the second. Cause: neither
+// waits for a neighbour that it knows of and hasn't heard.
+func TestClaimWaitsForAKnownNeighbour(t *testing.T) {
+	is := is.New(t)
+	k := New(a, "x", t0)
+	peers := []Peer{{VM: b, Domain: "x", Listed: true}}
+	is.Equal(len(k.Decide(t0.Add(settle), false, gs[:1], peers)), 0)
+	is.Equal(len(k.Decide(t0.Add(settleAlone), false, gs[:1], peers)), 1) // it doesn't come
+}
+
+func TestExactlyOneOfTwoThatHearEachOtherClaims(t *testing.T) {
+	is := is.New(t)
+	now := t0.Add(settleAlone)
+	ka, kb := New(a, "x", t0), New(b, "x", t0)
+	ca := ka.Decide(now, false, gs[:1], []Peer{{VM: b, Domain: "x", Live: true}})
+	cb := kb.Decide(now, false, gs[:1], []Peer{{VM: a, Domain: "x", Live: true}})
+	is.Equal(len(ca)+len(cb), 1)
+}
+
+// Symptom: two VMs order the same endpoint by turns. Sequence: both claimed it while they
+// didn't hear each other. Cause: neither gives way.
+func TestLowerFenceGivesWay(t *testing.T) {
+	is := is.New(t)
+	k := New(a, "x", t0)
+	k.Decide(t0.Add(settle), false, gs[:1], nil)
+	mine := k.Owns("x").Fence
+	rival := func(f uint64) []Peer {
+		return []Peer{{VM: b, Domain: "x", Live: true, Claims: []frame.Claim{{Group: "x", Fence: f}}}}
+	}
+	is.Equal(len(k.Decide(t0.Add(time.Second), false, gs[:1], rival(mine-1))), 0)
+	cs := k.Decide(t0.Add(time.Second), false, gs[:1], rival(mine+1))
+	is.Equal(len(cs), 1)
+	is.True(cs[0].Lost)
+	is.True(k.Owns("x") == nil)
+}
+
+func TestLeavingAndForeignOwnersHandOver(t *testing.T) {
+	is := is.New(t)
+	k := New(a, "x", t0)
+	k.Decide(t0.Add(settleFar), false, gs, nil)
+	home := []Peer{{VM: b, Domain: "y", Live: true, Since: t0}}
+	is.Equal(len(k.Decide(t0.Add(settleFar), false, gs, home)), 0) // it has just come
+	cs := k.Decide(t0.Add(patience), false, gs, home)
+	is.Equal(len(cs), 1)
+	is.True(cs[0].Giving && cs[0].Group == "y")
+	cs = k.Decide(t0.Add(patience), true, gs, home)
+	is.Equal(len(cs), 1)
+	is.True(cs[0].Giving && cs[0].Group == "x")
+}
+
+func TestFencesRiseOverClockSteps(t *testing.T) {
+	is := is.New(t)
+	k := New(a, "x", t0)
+	f := k.Fence(t0.Add(time.Hour))
+	g := k.Fence(t0) // the time of day went back
+	is.True(g > f)
+	k.Raise(g)
+	is.True(k.Fence(t0) >= g+step)
+	is.True(New(a, "x", t0).Fence(t0) != New(b, "x", t0).Fence(t0))
+}
--- /dev/null
+++ b/internal/task/lease/lease_test.go
@@ -0,0 +1,203 @@
+package lease
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"dahliawinch/internal/task/batch"
+	"dahliawinch/internal/task/job"
+)
+
+var (
+	t0     = time.Unix(1_700_000_000, 0)
+	limits = Limits{Hold: time.Second, Stop: 50 * time.Millisecond}
+	need   = job.Size{Cores: 10}
+)
+
+func endpoint() *Endpoint {
+	e := New(Info{ID: "e", Size: job.Size{Cores: 64}}, 7, limits)
+	e.Take(t0, t0, Report{Clock: 1000})
+	return e
+}
+
+func task(n int) batch.Task { return batch.Task{Job: "j", Index: n} }
+
+func TestRoomIsHeldUntilTheEndIsListed(t *testing.T) {
+	is := is.New(t)
+	e := endpoint()
+	r := e.Start(t0, task(0), 1, need)
+	is.Equal(e.Free().Cores, 54.0)
+	is.True(e.Started(t0, r))
+	e.Stop(r)
+	e.Stopped(t0.Add(time.Millisecond), Name{r.Name, 1})
+	is.Equal(e.Free().Cores, 54.0) // a stop takes its time
+	over, _ := e.Take(t0.Add(40*time.Millisecond), t0.Add(30*time.Millisecond), Report{Clock: 1040, Ended: []Ended{{Serial: 1, Name: r.Name, Num: 1, How: Gone}}})
+	is.Equal(len(over), 1)
+	is.Equal(e.Free().Cores, 64.0)
+	is.Equal(e.Cursor, int64(1))
+	over, _ = e.Take(t0, t0, Report{Ended: []Ended{{Serial: 1, Name: r.Name, Num: 1, How: Done}}})
+	is.Equal(len(over), 0) // listed again: it was noted already
+}
+
+// Symptom: a task runs twice. Sequence: a start gets no answer and its task is started
+// elsewhere; then the first order is carried out after all. Cause: a run that isn't
+// listed is taken for one that never began, though nothing stops it from beginning.
+func TestStartWithoutAnswerIsOverOnlyAfterAConfirmedStop(t *testing.T) {
+	is := is.New(t)
+	e := endpoint()
+	r := e.Start(t0, task(0), 1, need)
+	at := t0.Add(100 * time.Millisecond)
+	over, _ := e.Take(at, at, Report{Clock: 1100})
+	is.Equal(len(over), 0) // it may begin yet
+	e.Stop(r)
+	over, _ = e.Take(at, at, Report{Clock: 1100})
+	is.Equal(len(over), 0) // so it may now
+	e.Stopped(at, Name{r.Name, 1})
+	over, _ = e.Take(at, at.Add(-time.Millisecond), Report{Clock: 1100})
+	is.Equal(len(over), 0) // asked before the stop was confirmed
+	over, _ = e.Take(at, at.Add(time.Millisecond), Report{Clock: 1100})
+	is.Equal(len(over), 1)
+	is.Equal(over[0].How, Gone)
+}
+
+// Symptom: a task runs twice. Sequence: an endpoint falls silent and its tasks are
+// started elsewhere while they go on there. Cause: its lease had not run out.
+func TestSilentEndpointsRunsAreOverWithTheLease(t *testing.T) {
+	is := is.New(t)
+	e := endpoint()
+	r := e.Start(t0, task(0), 1, need)
+	e.Until(t0)
+	e.Started(t0, r)
+	e.Quiet()
+	is.Equal(len(e.Lapsed(t0.Add(900*time.Millisecond))), 0)
+	is.Equal(len(e.Lapsed(t0.Add(960*time.Millisecond))), 1) // 0.9 s, 2 % slow, and a grace
+}
+
+// Symptom: a client's second try runs beside its first. Sequence: an owner dies, the next
+// one renews the lease of an endpoint where the dead one's runs go on. Cause: work is
+// begun there before those runs are gone.
+func TestNewOwnerBeginsNothingBesideOrphans(t *testing.T) {
+	is := is.New(t)
+	e := New(Info{ID: "e", Size: job.Size{Cores: 64}}, 7, limits)
+	_, orphans := e.Take(t0, t0, Report{Running: []Listed{{Name: "x.0.0.0", Num: 1}}})
+	is.Equal(orphans, []Orphan{{"x.0.0.0", 1}})
+	is.True(!e.Open())
+	_, orphans = e.Take(t0.Add(orphanEvery), t0, Report{Running: []Listed{{Name: "x.0.0.0", Num: 1}}})
+	is.Equal(len(orphans), 1) // the stop may have been lost
+	e.Take(t0.Add(time.Second), t0, Report{Ended: []Ended{{Serial: 3, Name: "x.0.0.0", Num: 1, How: Gone}}})
+	is.True(e.Open())
+}
+
+func TestLeaseIsNeverAskedForTooLong(t *testing.T) {
+	is := is.New(t)
+	e := endpoint()
+	is.Equal(e.Until(t0), int64(1900))
+	is.Equal(e.Until(t0.Add(10*time.Second)), int64(1000+9800+900)) // a clock that is 2 % slow
+}
+
+// world is an endpoint that may carry orders out late, beside the owner's view of it.
+type world struct {
+	e       *Endpoint
+	now     time.Time
+	running map[Name]bool
+	past    map[string]int
+	ends    []Ended
+	serial  int64
+	late    []Name // starts under way
+	num     int
+	views   []*Run
+}
+
+func (w *world) begin(n Name) {
+	if n.Num > w.past[n.Task] && !w.running[n] {
+		w.running[n] = true
+	}
+}
+
+func (w *world) end(n Name, how How) {
+	if !w.running[n] {
+		return
+	}
+	delete(w.running, n)
+	w.past[n.Task] = max(w.past[n.Task], n.Num)
+	w.serial++
+	w.ends = append(w.ends, Ended{w.serial, n.Task, n.Num, how})
+}
+
+func (w *world) report() (r Report) {
+	for n := range w.running {
+		r.Running = append(r.Running, Listed{Name: n.Task, Num: n.Num})
+	}
+	r.Ended = append(r.Ended, w.ends...)
+	return r
+}
+
+// Whatever the order of starts, lost answers, late orders, stops and looks: when the
+// owner takes a run for over, it neither runs nor can begin any more.
+func TestWhatIsOverNeverRuns(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := &world{e: endpoint(), now: t0, running: map[Name]bool{}, past: map[string]int{}}
+		check := func(over []Finished) {
+			for _, f := range over {
+				n := Name{f.Run.Name, f.Run.Num}
+				mayBegin := false
+				for _, l := range w.late {
+					mayBegin = mayBegin || (l == n && n.Num > w.past[n.Task])
+				}
+				if w.running[n] || mayBegin {
+					t.Fatalf("%v is taken for over and runs or may begin", n)
+				}
+			}
+		}
+		pick := func() *Run {
+			if len(w.views) == 0 {
+				t.Skip("no run")
+			}
+			return w.views[rapid.IntRange(0, len(w.views)-1).Draw(t, "run")]
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"start": func(t *rapid.T) {
+				w.num++
+				r := w.e.Start(w.now, task(rapid.IntRange(0, 2).Draw(t, "task")), w.num, need)
+				w.views = append(w.views, r)
+				n := Name{r.Name, r.Num}
+				switch rapid.IntRange(0, 2).Draw(t, "fate") {
+				case 0:
+					w.begin(n)
+					w.e.Started(w.now, r)
+				case 1:
+					w.begin(n) // and the answer is lost
+				default:
+					w.late = append(w.late, n)
+				}
+			},
+			"late order": func(t *rapid.T) {
+				if len(w.late) == 0 {
+					t.Skip("none")
+				}
+				w.begin(w.late[0])
+				w.late = w.late[1:]
+			},
+			"end": func(*rapid.T) { r := pick(); w.end(Name{r.Name, r.Num}, Done) },
+			"stop": func(t *rapid.T) {
+				r := pick()
+				n := Name{r.Name, r.Num}
+				w.e.Stop(r)
+				if rapid.Bool().Draw(t, "heard") {
+					w.past[n.Task] = max(w.past[n.Task], n.Num)
+					w.end(n, Gone)
+					w.e.Stopped(w.now, n)
+				}
+			},
+			"look": func(*rapid.T) {
+				over, _ := w.e.Take(w.now, w.now, w.report())
+				w.ends = nil
+				check(over)
+			},
+			"": func(*rapid.T) { w.now = w.now.Add(7 * time.Millisecond) },
+		})
+	})
+}
