--- a/internal/edge/serve/beat.go
+++ b/internal/edge/serve/beat.go
@@ -220,7 +220,8 @@
 	d.mu.Unlock()
 	m := loadFrame(l)
 	for _, p := range d.view.Members() {
-		if p.State == view.Alive {
+		// One that leaves still has callers, and needs to know where to send their jobs.
+		if p.State == view.Alive || (p.State == view.Left && now.Sub(p.Heard) < lostAfter) {
 			_ = d.parts.Mesh.Cast(p.VM, &m) // the next one follows soon
 		}
 	}
--- a/internal/edge/serve/daemon.go
+++ b/internal/edge/serve/daemon.go
@@ -32,6 +32,9 @@
 	fronts []front
 }
 
+// endCaller is the callers' place among the fronts.
+const endCaller = 1
+
 // front is a listener and who serves it.
 type front struct {
 	l net.Listener
@@ -138,11 +141,19 @@
 func (d *Daemon) drain(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, d.set.Grace.Std()-lastly)
 	defer cancel()
-	d.node.Drain(ctx)
-	for _, f := range d.fronts[1:] {
-		if err := f.s.Shutdown(ctx); err != nil {
-			d.log.Warn("drain", "err", err)
+	g := errgroup.Group{}
+	g.Go(func() error {
+		t := time.NewTimer(linger)
+		defer t.Stop()
+		select {
+		case <-t.C: // callers that stay on their connections would else never let it end
+		case <-ctx.Done():
 		}
+		return d.fronts[endCaller].s.Shutdown(ctx)
+	})
+	d.node.Drain(ctx)
+	if err := g.Wait(); err != nil {
+		d.log.Warn("drain", "err", err)
 	}
 	if err := d.hub.Flush(ctx); err != nil {
 		d.log.Warn("drain", "err", err)
--- a/internal/tool/grid/fault_test.go
+++ b/internal/tool/grid/fault_test.go
@@ -6,7 +6,9 @@
 
 	"github.com/matryer/is"
 
+	"dahliawinch/internal/edge/serve"
 	"dahliawinch/internal/plat/fakes"
+	"dahliawinch/internal/task/job"
 )
 
 const hit = 5 * time.Second // when the fault strikes
@@ -175,3 +177,33 @@
 	report(t, g, hit, hit+6*time.Second)
 	is.True(g.Counts(-1, hit, hit+6*time.Second).Share() >= 0.93)
 }
+
+// Symptom: a caller on an open connection to a VM that leaves waits and is cut off.
+// Sequence: the VM has said that it leaves, and callers go on using the connections they
+// have. Cause: the owners tell their load only to VMs that stay, so the leaving one knows
+// none of them and holds the jobs until it ends.
+func TestLeavingVMServesCallersThatStay(t *testing.T) {
+	is := is.New(t)
+	answers := make(chan job.Answer, 4)
+	play(t, faulty(func(g *Grid) {
+		v := g.VM(0)
+		v.ready.Store(false) // no answers to others tell it of the owners
+		go g.Drain(v, false)
+		for i := range cap(answers) {
+			time.Sleep(550 * time.Millisecond)
+			j, _ := g.draw(plain, 1_000_000+i)
+			go func() {
+				a := v.Node.Submit(g.ctx, serve.Submission{Host: host, Path: "/plain/" + j.ID, Job: j, Left: time.Second})
+				g.Judge.Answered(j.ID, j.Tasks(), a)
+				answers <- a
+			}()
+		}
+	}))
+	done := 0
+	for range cap(answers) {
+		if a := <-answers; a.Outcome == job.Done {
+			done++
+		}
+	}
+	is.Equal(done, cap(answers))
+}
--- a/internal/tool/grid/load_test.go
+++ b/internal/tool/grid/load_test.go
@@ -40,7 +40,7 @@
 	all := g.Counts(-1, from, to)
 	is.True(g.Counts(urgent, from, to).Share() >= 0.7)
 	is.True(all.Share() >= 0.58)
-	is.True(g.Earned(from, to) >= 0.62) // the endpoints can do 0.67 of the work that comes
+	is.True(g.Earned(from, to) >= 0.62)                     // the endpoints can do 0.67 of the work that comes
 	is.True(float64(all.Failed) <= 0.01*float64(all.Asked)) // held until it was of no use
 	is.True(g.Counts(-1, to+time.Second, to+3*time.Second).Share() >= 0.97)
 }
