Owners that can't be reached are left out, silent links noticed after 0.5 s

Cause (one-way cuts): a VM hears the owners and its own jobs reach nobody; each word of an owner made it a target again, and the VM stayed ready for callers. Change: an owner that could not be reached is left out for 0.5 s, and with none left the VM is not ready; links wait 0.5 s for a word.

--- a/internal/edge/serve/submit.go
+++ b/internal/edge/serve/submit.go
@@ -129,7 +129,7 @@
 		}
 		if err := d.parts.Mesh.Cast(vm, &frame.Hand{Call: c.n, Job: *c.job}); err != nil {
 			d.log.Info("owner unreachable", "job", c.job.ID, "owner", vm, "err", err)
-			d.table.Forget(vm)
+			d.table.Down(vm, now)
 			continue
 		}
 		d.table.Sent(vm, c.cores)
--- a/internal/mesh/link/hub.go
+++ b/internal/mesh/link/hub.go
@@ -27,7 +27,7 @@
 	ackEvery = 100 * time.Millisecond
 	// ackWait is how long a sender does without word before it takes the
 	// connection for silent and opens a new one.
-	ackWait = time.Second
+	ackWait = 500 * time.Millisecond
 	// redial is the pause after a lost link; it doubles up to redialTop, and half of
 	// it is random, so that a healed partition is not met by all VMs at once.
 	redial    = 100 * time.Millisecond
--- a/internal/task/route/route.go
+++ b/internal/task/route/route.go
@@ -33,11 +33,29 @@
 	sent  float64    // cores of jobs sent there since
 }
 
+// downFor is how long an owner is left out that could not be reached, though it may
+// still be heard: a cut may be one way.
+const downFor = 500 * time.Millisecond
+
 // Table of the owners as one VM knows them; the caller serializes all calls.
-type Table struct{ all map[netip.AddrPort]*Load }
+type Table struct {
+	all  map[netip.AddrPort]*Load
+	down map[netip.AddrPort]time.Time // could not be reached, since when
+}
 
 // New returns an empty table.
-func New() *Table { return &Table{all: map[netip.AddrPort]*Load{}} }
+func New() *Table {
+	return &Table{all: map[netip.AddrPort]*Load{}, down: map[netip.AddrPort]time.Time{}}
+}
+
+// Down notes that an owner could not be reached.
+func (t *Table) Down(vm netip.AddrPort, now time.Time) { t.down[vm] = now }
+
+// open reports whether a job may be sent to an owner.
+func (t *Table) open(vm netip.AddrPort, l *Load, now time.Time) bool {
+	at, down := t.down[vm]
+	return now.Sub(l.At) <= stale && (!down || now.Sub(at) > downFor)
+}
 
 // Hear takes in an owner's word.
 func (t *Table) Hear(vm netip.AddrPort, l Load) {
@@ -62,7 +80,7 @@
 func (t *Table) Pick(now time.Time, rank int, cores float64, tried []netip.AddrPort) (best netip.AddrPort) {
 	var low time.Duration
 	for vm, l := range t.all {
-		if slices.Contains(tried, vm) || now.Sub(l.At) > stale {
+		if slices.Contains(tried, vm) || !t.open(vm, l, now) {
 			continue
 		}
 		w := l.wait(rank, cores)
@@ -89,10 +107,10 @@
 	return w + time.Duration(used*float64(away))
 }
 
-// Known is the number of owners whose word is fresh.
+// Known is the number of owners whose word is fresh and that can be reached.
 func (t *Table) Known(now time.Time) (n int) {
-	for _, l := range t.all {
-		if now.Sub(l.At) <= stale {
+	for vm, l := range t.all {
+		if t.open(vm, l, now) {
 			n++
 		}
 	}
--- a/internal/task/route/route_test.go
+++ b/internal/task/route/route_test.go
@@ -43,3 +43,17 @@
 	tab.Hear(a, Load{}) // it owns nothing any more
 	is.Equal(tab.Known(t0), 1)
 }
+
+// Symptom: a VM takes callers whose jobs nobody gets. Sequence: it hears the owners and
+// can't reach them. Cause: each word of an owner makes it look reachable again.
+func TestOwnerThatIsHeardButNotReachedIsLeftOut(t *testing.T) {
+	is := is.New(t)
+	tab := New()
+	tab.Hear(a, Load{At: t0, Free: 900, Total: 900})
+	tab.Down(a, t0)
+	tab.Hear(a, Load{At: t0.Add(100 * time.Millisecond), Free: 900, Total: 900})
+	is.Equal(tab.Known(t0.Add(100*time.Millisecond)), 0)
+	is.True(!tab.Pick(t0.Add(100*time.Millisecond), 0, 1, nil).IsValid())
+	tab.Hear(a, Load{At: t0.Add(2 * downFor), Free: 900, Total: 900})
+	is.Equal(tab.Pick(t0.Add(2*downFor), 0, 1, nil), a)
+}
