--- a/internal/base/sample/handler.go
+++ b/internal/base/sample/handler.go
@@ -9,8 +9,8 @@
 	"time"
 )
 
-// perSecond is how many lines of one message are written in a second.
-const perSecond = 20
+// PerSecond is how many lines of one message are written in a second by New.
+const PerSecond = 20
 
 // mostMessages bounds the memory; messages are constants of the program, so this is
 // never reached unless one is built from input.
@@ -24,8 +24,9 @@
 }
 
 type state struct {
-	mu  sync.Mutex
-	all map[string]*count
+	most int // lines of one message in a second
+	mu   sync.Mutex
+	all  map[string]*count
 }
 
 type count struct {
@@ -35,8 +36,11 @@
 }
 
 // New wraps a handler.
-func New(next slog.Handler) *Handler {
-	return &Handler{next: next, state: &state{all: map[string]*count{}}}
+func New(next slog.Handler) *Handler { return Limit(next, PerSecond) }
+
+// Limit wraps a handler and passes on so many lines of one message in a second.
+func Limit(next slog.Handler, most int) *Handler {
+	return &Handler{next: next, state: &state{most: most, all: map[string]*count{}}}
 }
 
 // Enabled implements slog.Handler.
@@ -78,7 +82,7 @@
 	if sec := at.Unix(); sec != c.second {
 		c.second, c.written = sec, 0
 	}
-	if c.written >= perSecond {
+	if c.written >= s.most {
 		c.left++
 		return 0, false
 	}
--- a/internal/base/sample/handler_test.go
+++ b/internal/base/sample/handler_test.go
@@ -22,7 +22,7 @@
 			log.Info("flood")
 		}
 		log.Info("other")
-		is.Equal(strings.Count(out.String(), "msg=flood"), perSecond)
+		is.Equal(strings.Count(out.String(), "msg=flood"), PerSecond)
 		is.Equal(strings.Count(out.String(), "msg=other vm=a"), 1)
 		time.Sleep(time.Second)
 		log.Info("flood")
--- a/internal/cli/cmds/cmd_serve.go
+++ b/internal/cli/cmds/cmd_serve.go
@@ -21,6 +21,10 @@
 // settingsVar names the environment variable with the path of the settings.
 const settingsVar = "DAHLIAWINCH_SETTINGS"
 
+// linesPerSecond of one message are logged, so that every request of a busy VM can be
+// followed (it takes about 40 a second) and a flood stays under 100 KB a second.
+const linesPerSecond = 200
+
 // lookEvery is how often the settings file is looked at: it may change without a signal.
 const lookEvery = time.Second
 
@@ -39,7 +43,7 @@
 		}
 		bound(set)
 		out := sink.New(c.OutOrStdout())
-		log := slog.New(sample.New(slog.NewTextHandler(out, &slog.HandlerOptions{Level: slog.Level(set.LogLevel())})))
+		log := slog.New(sample.Limit(slog.NewTextHandler(out, &slog.HandlerOptions{Level: slog.Level(set.LogLevel())}), linesPerSecond))
 		leave, kill, stop := signals()
 		defer stop()
 		logs, done := context.WithCancel(context.Background())
--- a/internal/task/health/book.go
+++ b/internal/task/health/book.go
@@ -25,6 +25,10 @@
 	Silent          // sent, and no answer came
 )
 
+var endNames = [...]string{"ok", "bad", "unreachable", "silent"}
+
+func (e End) String() string { return endNames[e] }
+
 const (
 	// out is how many unexplained strikes in a row eject an endpoint.
 	out = 2.2
--- a/internal/task/owner/book.go
+++ b/internal/task/owner/book.go
@@ -322,7 +322,8 @@
 func (b *Book) finish(now time.Time, e *entry, a job.Answer) {
 	e.told = true
 	b.cfg.Log.Info("job ended", "job", e.ID, "outcome", a.Outcome.String(), "reason", string(a.Reason), "detail", a.Detail,
-		"age", now.Sub(e.came).Round(time.Millisecond), "aim", e.aim.Sub(now).Round(time.Millisecond))
+		"age", now.Sub(e.came).Round(time.Millisecond), "aim", e.aim.Sub(now).Round(time.Millisecond), "late", e.late, "starts", e.starts,
+		"slowest", e.slowest.Round(time.Millisecond), "endpoint", e.slowAt)
 	b.acts.Tells = append(b.acts.Tells, Tell{e.key, a})
 	b.queue = slices.DeleteFunc(b.queue, func(x *entry) bool { return x == e })
 	for r, ep := range e.runs {
@@ -403,7 +404,7 @@
 			continue
 		}
 		b.cfg.Log.Info("run stuck", "job", e.ID, "task", r.Name, "run", r.Num, "endpoint", ep.ID, "percent", r.Percent, "after", now.Sub(r.At).Round(time.Millisecond))
-		b.health.Note(now, health.Report{Addr: ep.Addr, Kind: e.Pool + "/" + e.Queue, End: health.Silent})
+		b.assess(now, health.Report{Addr: ep.Addr, Kind: e.Pool + "/" + e.Queue, End: health.Silent}, ep.ID)
 		b.stop(ep, r)
 	}
 }
--- a/internal/task/owner/events.go
+++ b/internal/task/owner/events.go
@@ -35,7 +35,7 @@
 		st := &e.steps[r.Task.Step]
 		st.nums[r.Task.Index] += oldSkip
 	case agent.Ill:
-		b.health.Note(now, health.Report{Addr: ep.Addr, End: health.Unreachable})
+		b.assess(now, health.Report{Addr: ep.Addr, End: health.Unreachable}, ep.ID)
 	case agent.Fenced, agent.Dead, agent.Invalid:
 	}
 	b.over(now, s, lease.Finished{Run: r, How: lease.Never}, why.String())
@@ -67,7 +67,7 @@
 		return
 	}
 	b.cfg.Log.Info("start without answer", "job", e.ID, "task", r.Name, "run", r.Num, "endpoint", ep.ID, "after", now.Sub(r.At), "err", err)
-	b.health.Note(now, health.Report{Addr: ep.Addr, End: health.Silent})
+	b.assess(now, health.Report{Addr: ep.Addr, End: health.Silent}, ep.ID)
 	b.stop(ep, r)
 }
 
@@ -75,7 +75,7 @@
 func (b *Book) Unsent(now time.Time, ep *lease.Endpoint, r *lease.Run, err error) {
 	e := r.Job.(*entry)
 	b.cfg.Log.Info("endpoint unreachable", "job", e.ID, "task", r.Name, "endpoint", ep.ID, "err", err)
-	b.health.Note(now, health.Report{Addr: ep.Addr, End: health.Unreachable})
+	b.assess(now, health.Report{Addr: ep.Addr, End: health.Unreachable}, ep.ID)
 	if s := b.sites[ep.ID]; s != nil && ep.Reject(r) {
 		b.over(now, s, lease.Finished{Run: r, How: lease.Never}, "unreachable")
 		b.pump(now)
@@ -119,7 +119,7 @@
 	}
 	if !ep.Silent {
 		b.cfg.Log.Info("endpoint silent", "endpoint", ep.ID, "runs", len(ep.Runs), "err", err, "lapse", ep.Lapse().Sub(now))
-		b.health.Note(now, health.Report{Addr: ep.Addr, End: health.Unreachable})
+		b.assess(now, health.Report{Addr: ep.Addr, End: health.Unreachable}, ep.ID)
 	}
 	ep.Quiet()
 }
@@ -133,6 +133,9 @@
 		e.begun = true
 	}
 	b.judge(now, s, e, f)
+	if ran := now.Sub(r.At); ran > e.slowest {
+		e.slowest, e.slowAt = ran, s.ID
+	}
 	st := &e.steps[r.Task.Step]
 	if e.told {
 		b.forget(now, e)
@@ -176,5 +179,13 @@
 	default:
 		return
 	}
-	b.health.Note(now, rep)
+	b.assess(now, rep, s.ID)
+}
+
+// assess takes a report into the endpoint's health and tells when it gets no more work.
+func (b *Book) assess(now time.Time, rep health.Report, id string) {
+	was := b.health.Limit(now, rep.Addr)
+	if n := b.health.Note(now, rep); (n == 0) != (was == 0) {
+		b.cfg.Log.Info("endpoint judged", "endpoint", id, "usable", n > 0, "by", rep.End.String(), "kind", rep.Kind)
+	}
 }
--- a/internal/task/owner/job.go
+++ b/internal/task/owner/job.go
@@ -29,7 +29,10 @@
 	begun bool // a run of it was confirmed or listed
 	told  bool // the caller has its answer
 	late  bool // it will miss its objective
-	last  time.Time
+	// For the log: how many runs were started, and the longest and where it was.
+	starts  int
+	slowest time.Duration
+	slowAt  string
 }
 
 type step struct {
@@ -45,7 +48,7 @@
 	e := &entry{
 		Job: j, key: key, came: came, due: now.Add(j.Left), steps: make([]step, len(j.Steps)), left: len(j.Steps),
 		aim:  came.Add(time.Duration(j.Stretch*float64(work)) + j.Slack),
-		runs: map[*lease.Run]*lease.Endpoint{}, last: now,
+		runs: map[*lease.Run]*lease.Endpoint{},
 	}
 	for i := range e.steps {
 		s := &e.steps[i]
--- /dev/null
+++ b/internal/task/owner/owner_test.go
@@ -0,0 +1,263 @@
+package owner
+
+import (
+	"errors"
+	"io"
+	"log/slog"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"dahliawinch/internal/plat/agent"
+	"dahliawinch/internal/task/batch"
+	"dahliawinch/internal/task/job"
+	"dahliawinch/internal/task/lease"
+)
+
+var (
+	t0      = time.Unix(1_700_000_000, 0)
+	home    = netip.MustParseAddrPort("10.0.0.9:1")
+	errMute = errors.New("no answer")
+)
+
+// bench is a book with endpoints that are known and idle.
+func bench(cores ...float64) *Book {
+	b := New(Config{Limits: lease.Limits{Hold: time.Second, Stop: 50 * time.Millisecond}, Far: 2, Log: slog.New(slog.NewTextHandler(io.Discard, nil))})
+	for i, c := range cores {
+		id := string(rune('a' + i))
+		b.Own(lease.Info{
+			ID: id, Addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 0, byte(i)}), 80), Pool: "p",
+			Labels: []string{"rack-" + id}, Size: job.Size{Cores: c, Memory: 64},
+		}, 7)
+		b.Renewed(t0, t0, b.Find(id), lease.Report{Clock: 1000})
+	}
+	b.Take()
+	return b
+}
+
+func key(n uint64) Key { return Key{VM: home, Inc: 1, Call: n} }
+
+func tasks(n int, cores float64, run time.Duration) batch.Step {
+	return batch.Step{Count: n, Need: job.Size{Cores: cores}, Run: run}
+}
+
+func of(id string, rank int, steps ...batch.Step) *batch.Job {
+	return &batch.Job{ID: id, Queue: "q" + id[:1], Pool: "p", Rank: rank, Attempts: 3, Stretch: 1.6, Slack: 60 * time.Millisecond, Left: 3 * time.Second, Steps: steps}
+}
+
+// begin confirms all starts.
+func begin(b *Book, now time.Time, starts []Start) {
+	for _, s := range starts {
+		b.Started(now, s.At, s.Run)
+	}
+}
+
+var serial = map[*lease.Endpoint]int64{}
+
+// finish lets a run end.
+func finish(b *Book, now time.Time, s Start, how lease.How) {
+	serial[s.At]++
+	r := lease.Report{Clock: 2000, Ended: []lease.Ended{{Serial: serial[s.At], Name: s.Run.Name, Num: s.Run.Num, How: how}}}
+	for _, x := range s.At.Runs {
+		if x != s.Run && x.Stage != lease.Sent {
+			r.Running = append(r.Running, lease.Listed{Name: x.Name, Num: x.Num, Percent: 50})
+		}
+	}
+	b.Renewed(now, now, s.At, r)
+}
+
+func TestTasksArePackedAndTheJobIsDoneWithItsLast(t *testing.T) {
+	is := is.New(t)
+	b := bench(64, 96)
+	b.Submit(t0, key(1), of("j1", 0, tasks(5, 30, 100*time.Millisecond)))
+	a := b.Take()
+	is.Equal(len(a.Starts), 5) // 64 takes two, 96 three
+	begin(b, t0, a.Starts)
+	for i, s := range a.Starts {
+		finish(b, t0.Add(100*time.Millisecond), s, lease.Done)
+		is.Equal(len(b.Take().Tells), i/4)
+	}
+	is.Equal(b.Jobs(), 0)
+}
+
+func TestUrgentJobsStartFirstWhenRoomComes(t *testing.T) {
+	is := is.New(t)
+	b := bench(30)
+	b.Submit(t0, key(1), of("x1", 1, tasks(1, 30, 50*time.Millisecond)))
+	first := b.Take().Starts
+	begin(b, t0, first)
+	b.Submit(t0, key(2), of("y1", 2, tasks(1, 30, 500*time.Millisecond)))
+	b.Submit(t0, key(3), of("z1", 0, tasks(1, 30, 50*time.Millisecond)))
+	is.Equal(len(b.Take().Starts), 0)
+	finish(b, t0.Add(50*time.Millisecond), first[0], lease.Done)
+	next := b.Take().Starts
+	is.Equal(len(next), 1)
+	is.Equal(next[0].Run.Task.Job, "z1")
+}
+
+// Symptom: jobs wait for seconds and are then refused. Sequence: more work comes than
+// can be done. Cause: it is not foreseen when the job comes.
+func TestJobThatCannotEndInTimeIsRefusedAtOnce(t *testing.T) {
+	is := is.New(t)
+	b := bench(30)
+	n := uint64(0)
+	refused := 0
+	for range 30 {
+		n++
+		b.Submit(t0, key(n), of("w"+string(rune('a'+n)), 1, tasks(1, 30, 200*time.Millisecond)))
+		for _, tell := range b.Take().Tells {
+			is.Equal(tell.Answer.Outcome, job.Refused)
+			is.Equal(tell.Answer.Reason, job.Overload)
+			is.True(tell.Answer.Retry > 0)
+			refused++
+		}
+	}
+	is.True(refused >= 20)
+}
+
+// Symptom: a caller is told that its job did not run, and it did. Sequence: a start gets
+// no answer; the caller leaves or its time runs out. Cause: nothing was confirmed, so
+// nothing is thought to have begun.
+func TestUnansweredStartIsNeverCalledNotRun(t *testing.T) {
+	is := is.New(t)
+	b := bench(64)
+	b.Submit(t0, key(1), of("j1", 0, tasks(1, 30, 100*time.Millisecond)))
+	s := b.Take().Starts[0]
+	b.Unsure(t0, s.At, s.Run, errMute)
+	b.Cancel(t0, key(1), "its caller left")
+	a := b.Take()
+	is.Equal(a.Tells[0].Answer.Outcome, job.Unknown)
+	is.True(len(a.Stops) > 0)
+}
+
+func TestRefusedStartIsTriedElsewhere(t *testing.T) {
+	is := is.New(t)
+	b := bench(64, 64)
+	b.Submit(t0, key(1), of("j1", 0, tasks(1, 30, 100*time.Millisecond)))
+	s := b.Take().Starts[0]
+	b.Refused(t0, s.At, s.Run, agent.NoRoom)
+	next := b.Take().Starts
+	is.Equal(len(next), 1)
+	is.True(next[0].At != s.At)
+	is.Equal(next[0].Run.Num, 2)
+	b.Unsent(t0, next[0].At, next[0].Run, errMute)
+	b.Cancel(t0, key(1), "its caller left")
+	is.Equal(b.Take().Tells[0].Answer.Outcome, job.Refused) // nothing ever began
+}
+
+func TestJobFailsAfterItsAttempts(t *testing.T) {
+	is := is.New(t)
+	b := bench(64)
+	b.Submit(t0, key(1), of("j1", 0, tasks(1, 30, 100*time.Millisecond)))
+	now := t0
+	for i := range 3 {
+		a := b.Take()
+		is.Equal(len(a.Starts), 1)
+		is.Equal(a.Starts[0].Run.Num, i+1)
+		begin(b, now, a.Starts)
+		now = now.Add(10 * time.Millisecond)
+		finish(b, now, a.Starts[0], lease.Failed)
+	}
+	a := b.Take()
+	is.Equal(a.Tells[0].Answer.Outcome, job.Failed)
+	is.Equal(len(a.Starts), 0)
+}
+
+// Symptom: a task runs twice. Sequence: a caller's connection breaks, its job is being
+// stopped, and the caller submits it again. Cause: the new job starts beside the old runs.
+func TestJobSubmittedAgainWaitsForItsOldRuns(t *testing.T) {
+	is := is.New(t)
+	b := bench(64)
+	b.Submit(t0, key(1), of("j1", 0, tasks(1, 30, 100*time.Millisecond)))
+	s := b.Take().Starts[0]
+	begin(b, t0, []Start{s})
+	b.Submit(t0, key(2), of("j1", 0, tasks(1, 30, 100*time.Millisecond)))
+	a := b.Take()
+	is.Equal(len(a.Starts), 0)
+	is.Equal(a.Tells[0].Answer.Outcome, job.Unknown)  // the first
+	is.Equal(a.Tells[1].Answer.Reason, job.StillRuns) // the second: come back soon
+	finish(b, t0, s, lease.Gone)
+	b.Submit(t0, key(3), of("j1", 0, tasks(1, 30, 100*time.Millisecond)))
+	again := b.Take().Starts
+	is.Equal(len(again), 1)
+	is.True(again[0].Run.Num > s.Run.Num)
+}
+
+func TestStepsLabelsSpreadAndGangs(t *testing.T) {
+	is := is.New(t)
+	b := bench(64, 64)
+	second := tasks(1, 10, 50*time.Millisecond)
+	second.After = []int{0}
+	b.Submit(t0, key(1), of("j1", 0, tasks(1, 10, 50*time.Millisecond), second))
+	s := b.Take().Starts
+	is.Equal(len(s), 1)
+	begin(b, t0, s)
+	finish(b, t0, s[0], lease.Done)
+	s = b.Take().Starts
+	is.Equal(s[0].Run.Step, 1)
+	begin(b, t0, s)
+	finish(b, t0, s[0], lease.Done)
+	b.Take()
+
+	label := tasks(2, 10, 50*time.Millisecond)
+	label.Label = "rack-b"
+	b.Submit(t0, key(2), of("l1", 0, label))
+	for _, x := range b.Take().Starts {
+		is.Equal(x.At.ID, "b")
+	}
+	spread := tasks(2, 10, 50*time.Millisecond)
+	spread.Spread = 1
+	b.Submit(t0, key(3), of("s1", 0, spread))
+	x := b.Take().Starts
+	is.True(len(x) == 2 && x[0].At != x[1].At)
+	gang := tasks(4, 30, 50*time.Millisecond) // two fit here, one there
+	gang.Gang = true
+	b.Submit(t0, key(4), of("g1", 0, gang))
+	is.Equal(len(b.Take().Starts), 0)
+	missing := tasks(1, 10, 50*time.Millisecond)
+	missing.Label = "rack-z"
+	b.Submit(t0, key(5), of("m1", 0, missing))
+	is.Equal(b.Take().Tells[0].Answer.Reason, job.NoEndpoint)
+}
+
+func TestGivenEndpointsGetOnlyJobsThatHaveBegun(t *testing.T) {
+	is := is.New(t)
+	b := bench(64)
+	b.Submit(t0, key(1), of("j1", 0, tasks(3, 30, 100*time.Millisecond)))
+	s := b.Take().Starts
+	is.Equal(len(s), 2)
+	begin(b, t0, s)
+	b.Give("a")
+	b.Submit(t0, key(2), of("k1", 0, tasks(1, 4, 100*time.Millisecond)))
+	a := b.Take()
+	is.Equal(a.Tells[0].Answer.Outcome, job.Refused)
+	is.Equal(len(b.Release()), 0)
+	finish(b, t0, s[0], lease.Done)
+	s2 := b.Take().Starts
+	is.Equal(len(s2), 1) // the job's third task
+	begin(b, t0, s2)
+	finish(b, t0, s[1], lease.Done)
+	finish(b, t0, s2[0], lease.Done)
+	at := b.Find("a")
+	b.Renewed(t0, t0, at, lease.Report{Clock: 3000}) // the last end is taken note of
+	is.Equal(b.Release(), []string{"a"})
+}
+
+func TestLostEndpointsTasksStartElsewhere(t *testing.T) {
+	is := is.New(t)
+	b := bench(64, 64)
+	b.Submit(t0, key(1), of("j1", 0, tasks(1, 30, 100*time.Millisecond)))
+	s := b.Take().Starts
+	begin(b, t0, s)
+	b.Lose(t0, s[0].At.ID, false, "another VM owns it")
+	is.Equal(len(b.Take().Starts), 0) // it may run until the lease ends
+	b.Tick(t0.Add(time.Second))
+	next := b.Take().Starts
+	is.Equal(len(next), 1)
+	is.True(next[0].At.ID != s[0].At.ID)
+	begin(b, t0.Add(time.Second), next)
+	b.Lose(t0.Add(time.Second), next[0].At.ID, true, "it was restarted")
+	is.Equal(b.Jobs(), 1) // and waits for an endpoint
+}
--- a/internal/task/owner/pump.go
+++ b/internal/task/owner/pump.go
@@ -71,6 +71,7 @@
 	r := s.Start(now, batch.Task{Job: e.ID, Step: i, Index: k}, st.nums[k], e.Steps[i].Need)
 	r.Job = e
 	e.runs[r] = s.Endpoint
+	e.starts++
 	if e.late { // begun work is finished first: it is lost if the rest waits in vain
 		e.late = false
 		b.queue = slices.DeleteFunc(b.queue, func(x *entry) bool { return x == e })
