A VM claims only what it reaches

Change: a group of another domain is claimed only while an endpoint of it can be reached, and dropped after a second in which none answers.

--- a/internal/edge/serve/beat.go
+++ b/internal/edge/serve/beat.go
@@ -1,12 +1,14 @@
 package serve
 
 import (
+	"context"
 	"net/netip"
 	"time"
 
 	"dahliawinch/internal/mesh/claim"
 	"dahliawinch/internal/mesh/frame"
 	"dahliawinch/internal/mesh/view"
+	"dahliawinch/internal/plat/agent"
 	"dahliawinch/internal/task/lease"
 	"dahliawinch/internal/task/owner"
 	"dahliawinch/internal/task/route"
@@ -77,18 +79,58 @@
 	}
 }
 
-// groups are the failure domains that have endpoints.
-func (d *Node) groups() (gs []claim.Group) {
+// groups are the failure domains that have endpoints. One of another domain counts only
+// while this VM reaches endpoints there: a claim beyond a partition would do nothing until
+// the partition heals, and then take the endpoints from the owner that served them.
+func (d *Node) groups(now time.Time) (gs []claim.Group) {
 	seen := map[string]bool{}
 	for _, in := range d.roster {
-		if !seen[in.Domain] {
-			seen[in.Domain] = true
-			gs = append(gs, claim.Group{Name: in.Domain, Domain: in.Domain})
+		name := groupOf(in)
+		if seen[name] {
+			continue
+		}
+		seen[name] = true
+		if in.Domain == d.cfg.Domain || now.Sub(d.reached[name]) < reachFor || d.claims.Owns(name) != nil {
+			gs = append(gs, claim.Group{Name: name, Domain: in.Domain})
 		}
 	}
 	return gs
 }
 
+const (
+	// reachFor is how long a reached endpoint speaks for its group.
+	reachFor = time.Second
+	// reachWait bounds a look whether an endpoint can be reached.
+	reachWait = 300 * time.Millisecond
+	// blindFor is how long an owner of another domain's group keeps it that reaches none
+	// of its endpoints.
+	blindFor = time.Second
+)
+
+// probe looks whether groups without an owner can be reached; the caller holds the lock.
+func (d *Node) probe(now time.Time, peers []claim.Peer) {
+	for _, in := range d.roster {
+		g := groupOf(in)
+		if in.Domain == d.cfg.Domain || d.probing[g] || now.Sub(d.reached[g]) < reachFor/2 || claim.Owned(g, peers) || d.claims.Owns(g) != nil {
+			continue
+		}
+		d.probing[g] = true
+		d.wg.Go(func() { d.reach(g, agent.Target{ID: in.ID, Addr: in.Addr}) })
+	}
+}
+
+func (d *Node) reach(group string, to agent.Target) {
+	ctx, cancel := context.WithTimeout(d.ctx, reachWait)
+	defer cancel()
+	err := d.parts.Agent.Reach(ctx, to)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.probing, group)
+	if err == nil {
+		d.reached[group] = d.now()
+	}
+}
+
 // groupOf names the group of an endpoint.
 func groupOf(in lease.Info) string { return in.Domain }
 
@@ -98,7 +140,8 @@
 		return
 	}
 	peers := d.peers(now)
-	for _, c := range d.claims.Decide(now, d.leaving.Load(), d.groups(), peers) {
+	d.probe(now, peers)
+	for _, c := range d.claims.Decide(now, d.leaving.Load(), d.groups(now), peers) {
 		d.log.Info("group", "group", c.Group, "fence", c.Fence, "giving", c.Giving, "lost", c.Lost, "why", c.Why)
 		if c.Lost {
 			d.letGo(now, c)
@@ -160,6 +203,7 @@
 		}
 	}
 	if !o.Giving {
+		d.dropBlind(now, group)
 		return
 	}
 	for _, id := range d.book.Release() {
@@ -169,7 +213,30 @@
 		d.claims.Drop(group)
 		d.log.Info("group given", "group", group)
 	}
-	_ = now
+}
+
+// dropBlind gives up a group of another domain of which no endpoint can be reached.
+func (d *Node) dropBlind(now time.Time, group string) {
+	blind, domain := true, d.cfg.Domain
+	for id, in := range d.roster {
+		if groupOf(in) != group {
+			continue
+		}
+		domain = in.Domain
+		ep := d.book.Find(id)
+		blind = blind && (ep == nil || ep.Silent)
+	}
+	if !blind || domain == d.cfg.Domain {
+		d.blind[group] = now
+		return
+	}
+	if now.Sub(d.blind[group]) < blindFor {
+		return
+	}
+	d.log.Info("group dropped", "group", group, "why", "none of its endpoints can be reached")
+	d.letGo(now, claim.Change{Group: group, Why: "it can't be reached"})
+	d.claims.Drop(group)
+	delete(d.reached, group)
 }
 
 // pulse is this VM's heartbeat.
--- a/internal/edge/serve/daemon.go
+++ b/internal/edge/serve/daemon.go
@@ -85,7 +85,7 @@
 }
 
 // Serve implements Server.
-func (m mesh) Serve(l net.Listener) error { return m.hub.Run(m.ctx, l) } //nolint:wrapcheck // wrapped by Run
+func (m mesh) Serve(l net.Listener) error { return m.hub.Run(m.ctx, l) }
 
 // Shutdown implements Server; links end with the daemon.
 func (m mesh) Shutdown(context.Context) error { return nil }
--- a/internal/edge/serve/drain.go
+++ b/internal/edge/serve/drain.go
@@ -2,13 +2,14 @@
 
 import (
 	"context"
+	"net"
 	"time"
 
-	"dahliawinch/internal/base/meter"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/valyala/fasthttp"
 	"github.com/valyala/fasthttp/fasthttpadaptor"
-	"net"
+
+	"dahliawinch/internal/base/meter"
 )
 
 const (
--- a/internal/edge/serve/node.go
+++ b/internal/edge/serve/node.go
@@ -95,6 +95,10 @@
 	told   owner.Load
 	quiet  int // loads not told since they didn't change
 	listed bool
+	// reached tells when an endpoint of a group of another domain was last reached.
+	reached map[string]time.Time
+	probing map[string]bool
+	blind   map[string]time.Time // when an owned group was last seen to answer
 }
 
 // NewNode returns a node; Start sets it going.
@@ -103,7 +107,7 @@
 	d := &Node{
 		cfg: cfg, parts: parts, log: parts.Log, began: now, calls: map[uint64]*call{}, byID: map[string]*call{},
 		roster: map[string]lease.Info{}, unsure: map[string]time.Time{}, since: map[netip.AddrPort]time.Time{},
-		wakes: map[string]chan struct{}{}, table: route.New(),
+		wakes: map[string]chan struct{}{}, table: route.New(), reached: map[string]time.Time{}, probing: map[string]bool{}, blind: map[string]time.Time{},
 		view: view.New(cfg.VM, cfg.Domain, now), claims: claim.New(cfg.VM, cfg.Domain, now),
 		book: owner.New(owner.Config{Limits: cfg.Limits, Far: cfg.Far, Log: parts.Log}),
 	}
--- a/internal/mesh/claim/claim.go
+++ b/internal/mesh/claim/claim.go
@@ -171,6 +171,12 @@
 	})
 }
 
+// Owned reports whether a live VM owns a group and keeps it.
+func Owned(group string, peers []Peer) bool {
+	rival, _ := rivals(group, peers)
+	return rival != nil
+}
+
 // rivals returns the highest claim of a live VM on a group, and who is handing it over.
 func rivals(group string, peers []Peer) (rival *frame.Claim, giving netip.AddrPort) {
 	for _, p := range peers {
--- a/internal/plat/agent/agent.go
+++ b/internal/plat/agent/agent.go
@@ -42,6 +42,8 @@
 	Stop(ctx context.Context, to Target, n lease.Name, fence uint64) error
 	// Renew returns what runs and what ended.
 	Renew(ctx context.Context, to Target, o Renew) (lease.Report, error)
+	// Reach returns nil if the endpoint can be reached; it orders nothing.
+	Reach(ctx context.Context, to Target) error
 	// Forget closes the connections to an endpoint that is no longer owned.
 	Forget(to Target)
 }
--- a/internal/plat/feed/feed.go
+++ b/internal/plat/feed/feed.go
@@ -87,7 +87,7 @@
 	if !*known {
 		all, at, err := f.Source.Newest(ctx)
 		if err != nil {
-			return err //nolint:wrapcheck // logged with the feed's name
+			return err
 		}
 		*known, *next = true, at
 		f.Apply(all, true)
@@ -95,7 +95,7 @@
 	}
 	more, at, err := f.Source.Next(ctx, *next, f.Pace.Wait)
 	if err != nil {
-		return err //nolint:wrapcheck // logged with the feed's name
+		return err
 	}
 	*next = at
 	if len(more) > 0 {
--- a/internal/task/owner/job.go
+++ b/internal/task/owner/job.go
@@ -40,7 +40,6 @@
 	done    int
 	fails   []int
 	nums    []int // highest run number of each task
-	opened  time.Time
 }
 
 func newEntry(now time.Time, key Key, j *batch.Job, work time.Duration) *entry {
--- a/internal/task/owner/sites.go
+++ b/internal/task/owner/sites.go
@@ -103,7 +103,7 @@
 	s.lost = true
 	s.Quiet()
 	if dead {
-		for _, f := range s.Endpoint.Lost() {
+		for _, f := range s.Lost() {
 			b.over(now, s, f, why)
 		}
 	}
--- a/internal/tool/grid/fault_test.go
+++ b/internal/tool/grid/fault_test.go
@@ -87,6 +87,22 @@
 	is.True(g.Counts(-1, hit+span+3*time.Second, hit+10*time.Second).Share() >= 0.95)
 }
 
+// Symptom: when a partition heals, jobs fail on both sides. Sequence: each side has
+// claimed the other's endpoints, which it could not reach; with the heal its orders arrive
+// there, with a higher fence than that of the owner that served all the while. Cause: a
+// VM claims what it can't reach.
+func TestHealedPartitionTakesNothingAway(t *testing.T) {
+	is := is.New(t)
+	const span = 5 * time.Second
+	g := play(t, faulty(func(g *Grid) {
+		g.Isolate("fd-c", true)
+		time.Sleep(span)
+		g.Isolate("fd-c", false)
+	}))
+	report(t, g, hit+span-time.Second, hit+span+1500*time.Millisecond)
+	is.True(g.Counts(-1, hit+span-time.Second, hit+span+1500*time.Millisecond).Failed == 0)
+}
+
 // Symptom: jobs fail while the store is away. Sequence: no VM reaches the store for five
 // seconds. Cause: what was known is dropped.
 func TestStoreAway(t *testing.T) {
--- a/internal/tool/grid/net.go
+++ b/internal/tool/grid/net.go
@@ -204,6 +204,11 @@
 	return r, err
 }
 
+// Reach implements agent.Agent.
+func (h *hands) Reach(ctx context.Context, to agent.Target) error {
+	return h.reach(ctx, to, func(*fakes.Leased) error { return nil })
+}
+
 // Forget implements agent.Agent.
 func (h *hands) Forget(agent.Target) {}
 
