Heartbeats reach VMs that leave or come back; claims wait half a second in reach

Change: heartbeats to leaving VMs, the newest one kept for a link that comes up, one at once at the start; a group of another domain is claimed after 0.5 s in reach; jobs whose endpoints are all lost go to another owner at once.

--- a/internal/edge/serve/beat.go
+++ b/internal/edge/serve/beat.go
@@ -90,7 +90,7 @@
 			continue
 		}
 		seen[name] = true
-		if in.Domain == d.cfg.Domain || now.Sub(d.reached[name]) < reachFor || d.claims.Owns(name) != nil {
+		if in.Domain == d.cfg.Domain || d.claims.Owns(name) != nil || d.reaches(now, name) {
 			gs = append(gs, claim.Group{Name: name, Domain: in.Domain})
 		}
 	}
@@ -100,6 +100,9 @@
 const (
 	// reachFor is how long a reached endpoint speaks for its group.
 	reachFor = time.Second
+	// reachLong is for how long a group must have been reached to be claimed: after a
+	// partition its endpoints are reached before its owner is heard.
+	reachLong = 500 * time.Millisecond
 	// reachWait bounds a look whether an endpoint can be reached.
 	reachWait = 300 * time.Millisecond
 	// blindFor is how long an owner of another domain's group keeps it that reaches none
@@ -107,11 +110,18 @@
 	blindFor = time.Second
 )
 
-// probe looks whether groups without an owner can be reached; the caller holds the lock.
+// reaches reports whether endpoints of a group have been reached for a while.
+func (d *Node) reaches(now time.Time, group string) bool {
+	r := d.reached[group]
+	return now.Sub(r.last) < reachFor && now.Sub(r.since) >= reachLong
+}
+
+// probe looks whether groups can be reached whose owner is silent or gone; the caller
+// holds the lock.
 func (d *Node) probe(now time.Time, peers []claim.Peer) {
 	for _, in := range d.roster {
 		g := groupOf(in)
-		if in.Domain == d.cfg.Domain || d.probing[g] || now.Sub(d.reached[g]) < reachFor/2 || claim.Owned(g, peers) || d.claims.Owns(g) != nil {
+		if in.Domain == d.cfg.Domain || d.probing[g] || now.Sub(d.reached[g].last) < reachFor/5 || claim.Owned(g, peers) || d.claims.Owns(g) != nil {
 			continue
 		}
 		d.probing[g] = true
@@ -126,9 +136,16 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	delete(d.probing, group)
-	if err == nil {
-		d.reached[group] = d.now()
+	if err != nil {
+		delete(d.reached, group)
+		return
+	}
+	r := d.reached[group]
+	r.last = d.now()
+	if r.since.IsZero() {
+		r.since = r.last
 	}
+	d.reached[group] = r
 }
 
 // groupOf names the group of an endpoint.
@@ -158,7 +175,7 @@
 		ps = append(ps, claim.Peer{
 			VM: m.VM, Domain: m.Domain, Leaving: m.State == view.Left || m.Beat.Leaving, Since: d.since[m.VM],
 			Live:   (m.State == view.Alive || m.State == view.Suspect) || (m.State == view.Left && now.Sub(m.Heard) < lostAfter),
-			Claims: m.Beat.Claims, Listed: m.State == view.Listed,
+			Claims: m.Beat.Claims, Listed: m.State == view.Listed, Silent: m.State == view.Suspect,
 		})
 	}
 	return ps
--- a/internal/edge/serve/node.go
+++ b/internal/edge/serve/node.go
@@ -81,33 +81,35 @@
 	serial  atomic.Uint64
 	beats   int64 // only the timer's thread uses it
 
-	mu     sync.Mutex // guards all below
-	book   *owner.Book
-	claims *claim.Book
-	table  *route.Table
-	calls  map[uint64]*call
-	byID   map[string]*call
-	parked []*call // they wait until an owner is known
-	roster map[string]lease.Info
-	unsure map[string]time.Time // endpoints whose entry is missing, since when
-	since  map[netip.AddrPort]time.Time
-	wakes  map[string]chan struct{} // of owned endpoints
-	told   owner.Load
-	quiet  int // loads not told since they didn't change
-	listed bool
-	// reached tells when an endpoint of a group of another domain was last reached.
-	reached map[string]time.Time
+	mu      sync.Mutex // guards all below
+	book    *owner.Book
+	claims  *claim.Book
+	table   *route.Table
+	calls   map[uint64]*call
+	byID    map[string]*call
+	parked  []*call // they wait until an owner is known
+	roster  map[string]lease.Info
+	unsure  map[string]time.Time // endpoints whose entry is missing, since when
+	since   map[netip.AddrPort]time.Time
+	wakes   map[string]chan struct{} // of owned endpoints
+	told    owner.Load
+	quiet   int // loads not told since they didn't change
+	listed  bool
+	reached map[string]reached // groups of other domains
 	probing map[string]bool
 	blind   map[string]time.Time // when an owned group was last seen to answer
 }
 
+// reached tells since when, and when last, an endpoint of a group was reached.
+type reached struct{ since, last time.Time }
+
 // NewNode returns a node; Start sets it going.
 func NewNode(ctx context.Context, cfg Config, parts Parts) *Node {
 	now := parts.Clock.Now()
 	d := &Node{
 		cfg: cfg, parts: parts, log: parts.Log, began: now, calls: map[uint64]*call{}, byID: map[string]*call{},
 		roster: map[string]lease.Info{}, unsure: map[string]time.Time{}, since: map[netip.AddrPort]time.Time{},
-		wakes: map[string]chan struct{}{}, table: route.New(), reached: map[string]time.Time{}, probing: map[string]bool{}, blind: map[string]time.Time{},
+		wakes: map[string]chan struct{}{}, table: route.New(), reached: map[string]reached{}, probing: map[string]bool{}, blind: map[string]time.Time{},
 		view: view.New(cfg.VM, cfg.Domain, now), claims: claim.New(cfg.VM, cfg.Domain, now),
 		book: owner.New(owner.Config{Limits: cfg.Limits, Far: cfg.Far, Log: parts.Log}),
 	}
@@ -122,6 +124,7 @@
 	d.follow()
 	t := d.parts.Timers
 	t.OnJump(d.jump)
+	t.After(0, d.beat) // so that owners are heard before this VM may claim anything
 	t.Every(d.ctx, view.Period, d.beat)
 	t.Every(d.ctx, tickEvery, d.tick)
 	t.Every(d.ctx, loadEvery, d.tell)
--- a/internal/mesh/claim/claim.go
+++ b/internal/mesh/claim/claim.go
@@ -40,6 +40,7 @@
 	Domain  string
 	Live    bool // heard lately
 	Listed  bool // known by name and never heard
+	Silent  bool // not heard for a while, but not given up
 	Leaving bool
 	Since   time.Time // since when it is there
 	Claims  []frame.Claim
@@ -172,9 +173,10 @@
 	})
 }
 
-// Owned reports whether a live VM owns a group and keeps it.
+// Owned reports whether a VM that is heard owns a group and keeps it.
 func Owned(group string, peers []Peer) bool {
-	rival, _ := rivals(group, peers)
+	heard := slices.DeleteFunc(slices.Clone(peers), func(p Peer) bool { return p.Silent })
+	rival, _ := rivals(group, heard)
 	return rival != nil
 }
 
--- a/internal/mesh/link/sender.go
+++ b/internal/mesh/link/sender.go
@@ -53,7 +53,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !frame.Reliable(m) {
-		if s.online && len(s.loose) < mostLoose {
+		switch {
+		case !s.online: // the newest is what a peer that comes back should hear first
+			s.loose = append(s.loose[:0], data)
+		case len(s.loose) < mostLoose:
 			s.loose = append(s.loose, data)
 		}
 		s.poke()
@@ -101,7 +104,6 @@
 		err := s.connect(ctx)
 		s.mu.Lock()
 		s.online = false
-		s.loose = nil
 		s.mu.Unlock()
 		if ctx.Err() != nil {
 			return
--- a/internal/mesh/view/view.go
+++ b/internal/mesh/view/view.go
@@ -184,8 +184,11 @@
 }
 
 // Speaks reports whether heartbeats go to a member: to those picked, and to those
-// that picked this VM and are heard.
-func (m *Member) Speaks() bool { return m.Picked || m.State == Alive || m.State == Suspect }
+// that picked this VM and are heard. One that leaves still needs them: it has jobs with
+// owners, and would take their silence for a loss.
+func (m *Member) Speaks() bool {
+	return m.Picked || m.State == Alive || m.State == Suspect || m.State == Left
+}
 
 // Forget drops members that neither settings nor list name and that are not
 // there, so that replaced VMs don't pile up.
@@ -222,6 +225,9 @@
 		m.State = Left
 	}
 	v.all[from.VM] = m
+	if was.Inc == 0 {
+		v.pick()
+	}
 	v.publish()
 	c := Change{VM: m.VM, Inc: m.Inc, State: m.State, Reborn: was.Inc != 0 && was.Inc != m.Inc}
 	return c, c.Reborn || m.State != was.State
--- a/internal/task/owner/book.go
+++ b/internal/task/owner/book.go
@@ -377,6 +377,8 @@
 			for r, ep := range e.runs { // a stop may be lost
 				b.stop(ep, r)
 			}
+		case !e.begun && len(e.runs) == 0 && !b.possible(e.Job): // another owner may run it
+			b.finish(now, e, job.Answer{Outcome: job.Refused, Reason: job.NoEndpoint, Detail: "its endpoints were lost"})
 		case !e.begun && len(e.runs) == 0 && b.lastChance(e, now) < 0:
 			b.finish(now, e, job.Answer{Outcome: job.Refused, Reason: job.Overload, Retry: b.patience(e, e.came), Detail: "no room came free in time"})
 		case !e.late && !e.begun && len(e.runs) == 0 && b.patience(e, now) < 0:
--- a/internal/tool/grid/calm_test.go
+++ b/internal/tool/grid/calm_test.go
@@ -11,9 +11,6 @@
 // play runs a setup in virtual time and fails on any broken promise.
 func play(t *testing.T, set Setup) (g *Grid) {
 	t.Helper()
-	if testing.Verbose() {
-		set.Log = nil
-	}
 	synctest.Test(t, func(t *testing.T) {
 		g = Play(set)
 		for i, b := range g.Judge.Broken() {
