--- a/internal/edge/serve/node.go
+++ b/internal/edge/serve/node.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"dahliawinch/internal/base/meter"
+	"dahliawinch/internal/base/pace"
 	"dahliawinch/internal/base/timer"
 	"dahliawinch/internal/conf/plan"
 	"dahliawinch/internal/mesh/claim"
@@ -75,6 +76,7 @@
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
 	view   *view.View
+	pace   *pace.Pace // of orders
 
 	plan    atomic.Pointer[plan.Plan]
 	leaving atomic.Bool
@@ -110,6 +112,7 @@
 		cfg: cfg, parts: parts, log: parts.Log, began: now, calls: map[uint64]*call{}, byID: map[string]*call{},
 		roster: map[string]lease.Info{}, unsure: map[string]time.Time{}, since: map[netip.AddrPort]time.Time{},
 		wakes: map[string]chan struct{}{}, table: route.New(), reached: map[string]reached{}, probing: map[string]bool{}, blind: map[string]time.Time{},
+		pace: pace.New(orderLeast, orderMost),
 		view: view.New(cfg.VM, cfg.Domain, now), claims: claim.New(cfg.VM, cfg.Domain, now),
 		book: owner.New(owner.Config{Limits: cfg.Limits, Far: cfg.Far, Log: parts.Log}),
 	}
--- a/internal/edge/serve/perform.go
+++ b/internal/edge/serve/perform.go
@@ -12,14 +12,15 @@
 )
 
 const (
-	// orderWait is how long a start or stop may go without an answer, which takes 2 to
-	// 5 ms, on a VM that is slowed down up to 25. After it the connection is taken for
-	// silent and the start for one that may yet be carried out.
-	orderWait = 60 * time.Millisecond
+	// orderLeast and orderMost bound how long a start or stop may go without an answer,
+	// which takes 2 to 5 ms on a VM with time to spare. After it the connection is taken
+	// for silent and the start for one that may yet be carried out.
+	orderLeast = 60 * time.Millisecond
+	orderMost  = 400 * time.Millisecond
 	// renewWait is how long a renewal waits for an end. It bounds how long ends go
 	// unnoticed when a renewal or its answer is lost.
 	renewWait = 150 * time.Millisecond
-	// renewGrace is added until a renewal counts as unanswered.
+	// renewGrace at least is added until a renewal counts as unanswered.
 	renewGrace = 60 * time.Millisecond
 	// renewAgain is the pause after a renewal that failed or found orphans.
 	renewAgain = 20 * time.Millisecond
@@ -68,11 +69,13 @@
 
 // start orders a run.
 func (d *Node) start(s owner.Start) {
-	ctx, cancel := context.WithTimeout(d.ctx, orderWait)
+	began := d.now()
+	ctx, cancel := context.WithTimeout(d.ctx, d.pace.Timeout())
 	defer cancel()
 	d.parts.Meter.Start()
 	n := lease.Name{Task: s.Run.Name, Num: s.Run.Num}
 	err := d.parts.Agent.Start(ctx, target(s.At), agent.Start{Name: n, Spec: s.Spec, Until: s.Until, Fence: s.Fence})
+	d.pace.Note(d.now().Sub(began))
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.now()
@@ -101,7 +104,7 @@
 // stop orders the end of a run.
 func (d *Node) stop(s owner.Stop) {
 	for range stopTries {
-		ctx, cancel := context.WithTimeout(d.ctx, orderWait)
+		ctx, cancel := context.WithTimeout(d.ctx, d.pace.Timeout())
 		err := d.parts.Agent.Stop(ctx, target(s.At), s.Name, s.Fence)
 		cancel()
 		var refused *agent.RefusedError
@@ -190,7 +193,7 @@
 }
 
 func (d *Node) renewOnce(ep *lease.Endpoint, o agent.Renew, sent time.Time) {
-	ctx, cancel := context.WithTimeout(d.ctx, o.Wait+renewGrace)
+	ctx, cancel := context.WithTimeout(d.ctx, o.Wait+max(renewGrace, d.pace.Timeout()))
 	r, err := d.parts.Agent.Renew(ctx, target(ep), o)
 	cancel()
 	if d.ctx.Err() != nil {
