Endpoints of a domain in eight groups, strong VMs own first; time-outs grow on many misses only

Cause (grown sites): one owner for 87 endpoints, on a VM of 0.2 to 0.8 cores, could not keep up with bursts.

--- a/internal/edge/serve/beat.go
+++ b/internal/edge/serve/beat.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"net/netip"
+	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"dahliawinch/internal/mesh/claim"
 	"dahliawinch/internal/mesh/frame"
 	"dahliawinch/internal/mesh/view"
@@ -79,24 +82,48 @@
 	}
 }
 
-// groups are the failure domains that have endpoints. One of another domain counts only
-// while this VM reaches endpoints there: a claim beyond a partition would do nothing until
-// the partition heals, and then take the endpoints from the owner that served them.
+// groups are the parts of each failure domain's endpoints. One of another domain counts
+// only while this VM reaches endpoints there: a claim beyond a partition would do nothing
+// until the partition heals, and then take the endpoints from the owner that served them.
 func (d *Node) groups(now time.Time) (gs []claim.Group) {
-	seen := map[string]bool{}
+	sizes := map[string]int{}
 	for _, in := range d.roster {
-		name := groupOf(in)
+		sizes[in.Domain]++
+	}
+	seen := map[string]bool{}
+	for id, in := range d.roster {
+		name := d.group[id]
 		if seen[name] {
 			continue
 		}
 		seen[name] = true
 		if in.Domain == d.cfg.Domain || d.claims.Owns(name) != nil || d.reaches(now, name) {
-			gs = append(gs, claim.Group{Name: name, Domain: in.Domain})
+			gs = append(gs, claim.Group{Name: name, Domain: in.Domain, Key: keyOf(in, sizes[in.Domain])})
 		}
 	}
 	return gs
 }
 
+const (
+	// shards is into how many groups a failure domain's endpoints are divided.
+	shards = 8
+	// perOwner is how many endpoints one VM should own. More make a better pool: with 12,
+	// a wide job finds room; with 88, one of 0.2 cores can't keep up with a burst.
+	perOwner = 24
+)
+
+func shardOf(in lease.Info) int { return int(xxhash.Sum64String(in.ID) % shards) }
+
+// groupOf names the group of an endpoint.
+func groupOf(in lease.Info) string { return in.Domain + "/" + strconv.Itoa(shardOf(in)) }
+
+// keyOf puts so many groups of a domain together that an owner has enough endpoints. VMs
+// that see different sizes only prefer other owners; the groups stay the same.
+func keyOf(in lease.Info, size int) string {
+	owners := min(shards, max(1, (size+perOwner/2)/perOwner))
+	return in.Domain + "#" + strconv.Itoa(shardOf(in)*owners/shards)
+}
+
 const (
 	// reachFor is how long a reached endpoint speaks for its group.
 	reachFor = time.Second
@@ -119,8 +146,8 @@
 // probe looks whether groups can be reached whose owner is silent or gone; the caller
 // holds the lock.
 func (d *Node) probe(now time.Time, peers []claim.Peer) {
-	for _, in := range d.roster {
-		g := groupOf(in)
+	for id, in := range d.roster {
+		g := d.group[id]
 		if in.Domain == d.cfg.Domain || d.probing[g] || now.Sub(d.reached[g].last) < reachFor/5 || claim.Owned(g, peers) || d.claims.Owns(g) != nil {
 			continue
 		}
@@ -148,9 +175,6 @@
 	d.reached[group] = r
 }
 
-// groupOf names the group of an endpoint.
-func groupOf(in lease.Info) string { return in.Domain }
-
 // decide takes and gives groups of endpoints.
 func (d *Node) decide(now time.Time) {
 	if !d.listed {
@@ -175,7 +199,7 @@
 		ps = append(ps, claim.Peer{
 			VM: m.VM, Domain: m.Domain, Leaving: m.State == view.Left || m.Beat.Leaving, Since: d.since[m.VM],
 			Live:   (m.State == view.Alive || m.State == view.Suspect) || (m.State == view.Left && now.Sub(m.Heard) < lostAfter),
-			Claims: m.Beat.Claims, Listed: m.State == view.Listed, Silent: m.State == view.Suspect,
+			Claims: m.Beat.Claims, Listed: m.State == view.Listed, Silent: m.State == view.Suspect, Power: float64(m.Beat.Power),
 		})
 	}
 	return ps
@@ -198,8 +222,8 @@
 
 // letGo drops the endpoints of a group that another VM owns.
 func (d *Node) letGo(now time.Time, c claim.Change) {
-	for id, in := range d.roster {
-		if groupOf(in) == c.Group && d.book.Owned(id) {
+	for id := range d.roster {
+		if d.group[id] == c.Group && d.book.Owned(id) {
 			d.book.Lose(now, id, false, c.Why)
 		}
 	}
@@ -211,7 +235,7 @@
 	left := false
 	for id, in := range d.roster {
 		switch {
-		case groupOf(in) != group:
+		case d.group[id] != group:
 		case o.Giving:
 			d.book.Give(id)
 			left = left || d.book.Owned(id)
@@ -236,7 +260,7 @@
 func (d *Node) dropBlind(now time.Time, group string) {
 	blind, domain := true, d.cfg.Domain
 	for id, in := range d.roster {
-		if groupOf(in) != group {
+		if d.group[id] != group {
 			continue
 		}
 		domain = in.Domain
@@ -258,18 +282,28 @@
 
 // pulse is this VM's heartbeat.
 func (d *Node) pulse(now time.Time) *frame.Beat {
-	b := &frame.Beat{At: now, Leaving: d.leaving.Load(), Doubts: d.view.Doubts(now)}
+	b := &frame.Beat{At: now, Leaving: d.leaving.Load(), Doubts: d.view.Doubts(now), Power: float32(d.cfg.Power)}
 	for _, g := range d.claims.Groups() {
 		o := d.claims.Owns(g)
 		c := frame.Claim{Group: g, Fence: o.Fence, Giving: o.Giving}
 		if o.Giving {
-			c.Held = d.book.Held()
+			c.Held = d.heldOf(g)
 		}
 		b.Claims = append(b.Claims, c)
 	}
 	return b
 }
 
+// heldOf lists the endpoints of a group that this VM has not let go of.
+func (d *Node) heldOf(group string) (ids []string) {
+	for id, g := range d.group {
+		if g == group && d.book.Owned(id) {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
 // tick looks at deadlines.
 func (d *Node) tick() {
 	now := d.now()
--- a/internal/edge/serve/node.go
+++ b/internal/edge/serve/node.go
@@ -48,6 +48,7 @@
 	Seeds  []netip.AddrPort
 	Limits lease.Limits
 	Far    float64 // how many times longer a task runs away from its data
+	Power  float64 // cores that this VM may use
 }
 
 // Mesh carries messages to other entry VMs. Messages to one incarnation arrive once
@@ -91,6 +92,7 @@
 	byID    map[string]*call
 	parked  []*call // they wait until an owner is known
 	roster  map[string]lease.Info
+	group   map[string]string    // of each endpoint in the roster
 	unsure  map[string]time.Time // endpoints whose entry is missing, since when
 	since   map[netip.AddrPort]time.Time
 	wakes   map[string]chan struct{} // of owned endpoints
@@ -110,10 +112,10 @@
 	now := parts.Clock.Now()
 	d := &Node{
 		cfg: cfg, parts: parts, log: parts.Log, began: now, calls: map[uint64]*call{}, byID: map[string]*call{},
-		roster: map[string]lease.Info{}, unsure: map[string]time.Time{}, since: map[netip.AddrPort]time.Time{},
+		roster: map[string]lease.Info{}, group: map[string]string{}, unsure: map[string]time.Time{}, since: map[netip.AddrPort]time.Time{},
 		wakes: map[string]chan struct{}{}, table: route.New(), reached: map[string]reached{}, probing: map[string]bool{}, blind: map[string]time.Time{},
 		pace: pace.New(orderLeast, orderMost),
-		view: view.New(cfg.VM, cfg.Domain, now), claims: claim.New(cfg.VM, cfg.Domain, now),
+		view: view.New(cfg.VM, cfg.Domain, now), claims: claim.New(cfg.VM, cfg.Domain, cfg.Power, now),
 		book: owner.New(owner.Config{Limits: cfg.Limits, Far: cfg.Far, Log: parts.Log}),
 	}
 	d.ctx, d.cancel = context.WithCancel(ctx)
@@ -218,7 +220,7 @@
 			continue
 		}
 		delete(d.unsure, u.Key)
-		d.roster[u.Key] = u.Value
+		d.roster[u.Key], d.group[u.Key] = u.Value, groupOf(u.Value)
 		if u.Value.Drains {
 			d.book.Drain(u.Key)
 		}
@@ -251,6 +253,7 @@
 		}
 		delete(d.unsure, id)
 		delete(d.roster, id)
+		delete(d.group, id)
 		d.book.Lose(now, id, false, "the platform no longer lists it")
 	}
 	d.perform()
@@ -275,9 +278,14 @@
 	d.view.Learn(d.now(), named...)
 }
 
-// Owns reports whether this VM owns a group of endpoints, for tests and the operators.
-func (d *Node) Owns(group string) bool {
+// Owns reports whether this VM owns endpoints of a failure domain, for tests.
+func (d *Node) Owns(domain string) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.claims.Owns(group) != nil
+	for id, in := range d.roster {
+		if in.Domain == domain && d.book.Owned(id) {
+			return true
+		}
+	}
+	return false
 }
--- a/internal/edge/serve/perform.go
+++ b/internal/edge/serve/perform.go
@@ -75,7 +75,11 @@
 	d.parts.Meter.Start()
 	n := lease.Name{Task: s.Run.Name, Num: s.Run.Num}
 	err := d.parts.Agent.Start(ctx, target(s.At), agent.Start{Name: n, Spec: s.Spec, Until: s.Until, Fence: s.Fence})
-	d.pace.Note(d.now().Sub(began))
+	if errors.Is(err, context.DeadlineExceeded) || ctx.Err() != nil {
+		d.pace.Miss()
+	} else if !errors.Is(err, agent.ErrUnsent) {
+		d.pace.Note(d.now().Sub(began))
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.now()
--- a/internal/edge/serve/settings.go
+++ b/internal/edge/serve/settings.go
@@ -26,6 +26,7 @@
 	// Seeds are VMs to begin with while the store is away, with the mesh's port.
 	Seeds  string   `json:"seeds,omitempty"` // addresses with commas; their ports don't count
 	Memory int      `json:"memory"`          // MiB that the process may use
+	Cores  float64  `json:"cores"`           // of a processor that it may use
 	Hold   doc.Span `json:"hold"`            // longest lease that an endpoint grants
 	Stop   doc.Span `json:"stop"`            // longest time a stop takes
 	Grace  doc.Span `json:"grace"`           // from the signal to leave until the end
@@ -35,7 +36,7 @@
 
 // Defaults are what a settings file need not say.
 func Defaults() Settings {
-	return Settings{Memory: 256, Hold: doc.Span(time.Second), Stop: doc.Span(50 * time.Millisecond), Grace: doc.Span(6 * time.Second), Far: 2, Level: "info"}
+	return Settings{Memory: 256, Cores: 1, Hold: doc.Span(time.Second), Stop: doc.Span(50 * time.Millisecond), Grace: doc.Span(6 * time.Second), Far: 2, Level: "info"}
 }
 
 // Read takes a settings file over and checks it.
@@ -68,6 +69,7 @@
 	}{{"caller", s.Caller}, {"ready", s.Ready}, {"mesh", s.Mesh}, {"store", s.Store}} {
 		need(a.at.IsValid() && a.at.Port() > 0, a.name, a.at, "write an IP number and a port, such as 127.0.0.1:7001")
 	}
+	need(s.Cores > 0 && s.Cores <= 1024, "cores", s.Cores, "use the part of a core that it may use, such as 0.4")
 	need(s.Memory >= 32, "memory", s.Memory, "use at least 32 MiB")
 	need(s.Hold.Std() >= 100*time.Millisecond && s.Hold.Std() <= time.Minute, "hold", s.Hold.Std(), "use 100ms to 1m")
 	need(s.Stop.Std() > 0 && s.Stop.Std() <= 10*time.Second, "stop", s.Stop.Std(), "use 1ms to 10s")
--- a/internal/mesh/claim/claim.go
+++ b/internal/mesh/claim/claim.go
@@ -4,6 +4,7 @@
 package claim
 
 import (
+	"math"
 	"net/netip"
 	"slices"
 	"time"
@@ -43,6 +44,7 @@
 	Silent  bool // not heard for a while, but not given up
 	Leaving bool
 	Since   time.Time // since when it is there
+	Power   float64   // cores that it may use; 0 counts as 1
 	Claims  []frame.Claim
 }
 
@@ -56,14 +58,15 @@
 type Book struct {
 	self   netip.AddrPort
 	domain string
+	power  float64
 	began  time.Time
 	top    uint64 // highest fence heard of or used
 	own    map[string]*Own
 }
 
 // New returns a book without claims.
-func New(self netip.AddrPort, domain string, now time.Time) *Book {
-	return &Book{self: self, domain: domain, began: now, own: map[string]*Own{}}
+func New(self netip.AddrPort, domain string, power float64, now time.Time) *Book {
+	return &Book{self: self, domain: domain, power: power, began: now, own: map[string]*Own{}}
 }
 
 // Owns returns the claim on a group, or nil.
@@ -109,6 +112,7 @@
 type Group struct {
 	Name   string
 	Domain string
+	Key    string // groups with one key are best owned by one VM
 }
 
 // Decide looks at all groups and returns what changed.
@@ -201,25 +205,35 @@
 }
 
 // best returns the VM that should own a group that nobody owns: one of its own domain,
-// else any, by rendezvous hashing, so that a VM's groups spread over all others when it
-// goes.
+// else any, by rendezvous hashing weighted by what each can carry, so that a VM's groups
+// spread over all others when it goes.
 func (b *Book) best(g Group, peers []Peer, giving netip.AddrPort) (best netip.AddrPort) {
-	var low uint64
-	near := false
-	look := func(vm netip.AddrPort, domain string) {
-		w := xxhash.Sum64String(g.Name + "|" + vm.String())
+	top, near := 0.0, false
+	look := func(vm netip.AddrPort, domain string, power float64) {
+		w := weight(g.Key, vm, power)
 		n := domain == g.Domain
-		if !best.IsValid() || (n && !near) || (n == near && w > low) {
-			best, low, near = vm, w, n
+		if !best.IsValid() || (n && !near) || (n == near && w > top) {
+			best, top, near = vm, w, n
 		}
 	}
 	if b.self != giving {
-		look(b.self, b.domain)
+		look(b.self, b.domain, b.power)
 	}
 	for _, p := range peers {
 		if p.Live && !p.Leaving && p.VM != giving {
-			look(p.VM, p.Domain)
+			look(p.VM, p.Domain, p.Power)
 		}
 	}
 	return best
 }
+
+// weight is a VM's score for a key: the highest of all is drawn with a chance that grows
+// with the square of its power, since a weak owner holds up all jobs of its pool.
+func weight(key string, vm netip.AddrPort, power float64) float64 {
+	if power <= 0 {
+		power = 1
+	}
+	h := xxhash.Sum64String(key + "|" + vm.String())
+	u := (float64(h>>11) + 0.5) / (1 << 53)
+	return -power * power / math.Log(u)
+}
--- a/internal/mesh/frame/msg.go
+++ b/internal/mesh/frame/msg.go
@@ -54,6 +54,7 @@
 	Asof    int64            `msgpack:"a"`
 	Use     map[string]Use   `msgpack:"u,omitempty"` // tenants with quotas
 	Claims  []Claim          `msgpack:"c,omitempty"` // groups of leased endpoints owned here
+	Power   float32          `msgpack:"p,omitempty"` // cores that the sender may use
 }
 
 // Claim says that a VM owns a group of leased endpoints.
--- a/internal/task/owner/book.go
+++ b/internal/task/owner/book.go
@@ -372,24 +372,7 @@
 		}
 	}
 	for _, e := range b.jobs {
-		switch {
-		case e.told:
-			for r, ep := range e.runs { // a stop may be lost
-				b.stop(ep, r)
-			}
-		case !e.begun && len(e.runs) == 0 && !b.possible(e.Job): // another owner may run it
-			b.finish(now, e, job.Answer{Outcome: job.Refused, Reason: job.NoEndpoint, Detail: "its endpoints were lost"})
-		case !e.begun && len(e.runs) == 0 && b.lastChance(e, now) < 0:
-			b.finish(now, e, job.Answer{Outcome: job.Refused, Reason: job.Overload, Retry: b.patience(e, e.came), Detail: "no room came free in time"})
-		case !e.late && !e.begun && len(e.runs) == 0 && b.patience(e, now) < 0:
-			b.queue = slices.DeleteFunc(b.queue, func(x *entry) bool { return x == e })
-			e.late = true
-			b.enqueue(e)
-		case !now.Before(e.due):
-			b.finish(now, e, job.Answer{Outcome: e.outcome(), Reason: job.Deadline, Detail: "its time ran out"})
-		default:
-			b.watch(now, e)
-		}
+		b.review(now, e)
 	}
 	for id, s := range b.sites {
 		if s.lost && len(s.Runs) == 0 {
@@ -399,6 +382,36 @@
 	b.pump(now)
 }
 
+// review ends a job whose time is over, or that can't be answered in a useful time.
+func (b *Book) review(now time.Time, e *entry) {
+	switch {
+	case e.told:
+		for r, ep := range e.runs { // a stop may be lost
+			b.stop(ep, r)
+		}
+	case !now.Before(e.due):
+		b.finish(now, e, job.Answer{Outcome: e.outcome(), Reason: job.Deadline, Detail: "its time ran out"})
+	case e.begun || len(e.runs) > 0:
+		b.watch(now, e)
+	default:
+		b.reviewWaiting(now, e)
+	}
+}
+
+// reviewWaiting looks at a job of which nothing has begun.
+func (b *Book) reviewWaiting(now time.Time, e *entry) {
+	switch {
+	case !b.possible(e.Job): // another owner may run it
+		b.finish(now, e, job.Answer{Outcome: job.Refused, Reason: job.NoEndpoint, Detail: "its endpoints were lost"})
+	case b.lastChance(e, now) < 0:
+		b.finish(now, e, job.Answer{Outcome: job.Refused, Reason: job.Overload, Retry: b.patience(e, e.came), Detail: "no room came free in time"})
+	case !e.late && b.patience(e, now) < 0:
+		b.queue = slices.DeleteFunc(b.queue, func(x *entry) bool { return x == e })
+		e.late = true
+		b.enqueue(e)
+	}
+}
+
 // watch looks for runs that take far longer than they should.
 func (b *Book) watch(now time.Time, e *entry) {
 	for r, ep := range e.runs {
--- a/internal/task/owner/sites.go
+++ b/internal/task/owner/sites.go
@@ -56,16 +56,6 @@
 	return s != nil && !s.lost
 }
 
-// Held lists the endpoints that this VM has not let go of.
-func (b *Book) Held() (ids []string) {
-	for _, s := range b.order {
-		if !s.lost {
-			ids = append(ids, s.ID)
-		}
-	}
-	return ids
-}
-
 // Drain notes that an endpoint leaves: it gets no new work.
 func (b *Book) Drain(id string) {
 	if s := b.sites[id]; s != nil && !s.Drains {
