--- a/internal/task/owner/book.go
+++ b/internal/task/owner/book.go
@@ -58,55 +58,6 @@
 	full   time.Time // gets nothing new until then
 }
 
-// ranks are told apart when the pressure of more urgent work is measured.
-const ranks = 4
-
-// flow is the core-seconds that come per second, as a running mean.
-type flow struct {
-	rate float64
-	at   time.Time
-}
-
-// inflowSpan is the time over which arriving work is averaged: short enough to follow
-// a burst, long enough to hold several jobs of each rank.
-const inflowSpan = 500 * time.Millisecond
-
-// note counts an arriving job, taken or not.
-func (b *Book) note(now time.Time, e *entry) {
-	work := 0.0
-	for i := range e.Steps {
-		st := &e.Steps[i]
-		work += float64(st.Count) * st.Need.Cores * b.expect(e.Job, st).Seconds()
-	}
-	f := &b.inflow[min(e.Rank, ranks-1)]
-	f.rate = f.decayed(now) + work/inflowSpan.Seconds()
-	f.at = now
-}
-
-func (f *flow) decayed(now time.Time) float64 {
-	return f.rate * math.Exp(-now.Sub(f.at).Seconds()/inflowSpan.Seconds())
-}
-
-// pressure is the part of the pool that work of higher ranks is about to take.
-func (b *Book) pressure(now time.Time, rank int) float64 {
-	total, come := 0.0, 0.0
-	for _, s := range b.order {
-		if !s.lost && !s.giving && s.Open() {
-			total += s.Size.Cores
-		}
-	}
-	for r := range min(rank, ranks) {
-		come += b.inflow[r].decayed(now)
-	}
-	if total == 0 {
-		return 0
-	}
-	return come / (total * packed)
-}
-
-// packed is the part of the cores that tasks can fill: 27 of 64 twice, or of 96 thrice.
-const packed = 0.84
-
 // Config of a book.
 type Config struct {
 	Limits lease.Limits
@@ -212,37 +163,6 @@
 // stopWait is when a job may come again whose former runs are being stopped.
 const stopWait = 300 * time.Millisecond
 
-const (
-	// careful lowers the expected work when the objective grows with it: a job that is
-	// shorter than expected has less time to wait. Work is off by a factor of e^0.28
-	// after the kind's mean and the declaration are combined.
-	careful = 0.8
-	// overhead is what sending, starting, collecting and answering take.
-	overhead = 12 * time.Millisecond
-)
-
-// patience is how long a job's tasks may wait in all for it to meet its objective.
-func (b *Book) patience(e *entry, now time.Time) time.Duration {
-	work := b.chain(e.Job)
-	return time.Duration((e.Stretch-1)*careful*float64(work)) + e.Slack - overhead - now.Sub(e.came)
-}
-
-// lastChance is how long the tasks of a job that will miss its objective may wait for
-// its answer to be of some use. Most of the time that the caller has is kept: one that is
-// refused in the end must still be able to go elsewhere.
-func (b *Book) lastChance(e *entry, now time.Time) time.Duration {
-	work := b.chain(e.Job)
-	aim := time.Duration(e.Stretch*careful*float64(work)) + e.Slack
-	useful := min(lateFor*aim, time.Duration(holdPart*float64(e.due.Sub(e.came))))
-	return useful - work - overhead - now.Sub(e.came)
-}
-
-// lateFor is up to how many times its objective an answer is of some use.
-const lateFor = 3
-
-// holdPart is the part of a caller's time that a job may wait and then be refused.
-const holdPart = 0.35
-
 func (b *Book) refuse(key Key, j *batch.Job, why job.Reason, retry time.Duration, detail string) {
 	b.cfg.Log.Info("job refused", "job", j.ID, "by", key.VM, "queue", j.Queue, "rank", j.Rank, "tasks", j.Tasks(), "cores", j.Steps[0].Need.Cores, "reason", string(why), "detail", detail,
 		"queued", len(b.queue), "free", b.freeCores())
--- a/internal/task/owner/pump.go
+++ b/internal/task/owner/pump.go
@@ -6,7 +6,6 @@
 
 	"dahliawinch/internal/task/batch"
 	"dahliawinch/internal/task/job"
-	"dahliawinch/internal/task/lease"
 )
 
 // allowed is how many runs the endpoint's health allows at once.
@@ -156,100 +155,3 @@
 	}
 	return max(0, n)
 }
-
-// forecast predicts how long a new job's tasks wait in all, from what runs and what
-// goes before it. It plays the pool as places of the job's own need: each run holds one
-// until its expected end, then the waiting tasks take the earliest.
-func (b *Book) forecast(now time.Time, e *entry) (wait time.Duration) {
-	need := e.Steps[0].Need
-	places := b.places(now, need, e.Pool)
-	if len(places) == 0 {
-		return time.Hour
-	}
-	take := func(d time.Duration) time.Duration {
-		at := places[0]
-		i, _ := slices.BinarySearch(places[1:], at+d)
-		copy(places[:i], places[1:i+1])
-		places[i] = at + d
-		return at
-	}
-	// What is free now is of no use to what waits, or it would have started: a small
-	// task goes into a gap that the larger ones before it don't fit.
-	first, d := 0, b.expect(e.Job, &e.Steps[0])
-	for first < e.Steps[0].Count && places[0] == 0 {
-		take(d)
-		first++
-	}
-	for _, q := range b.queue {
-		if before(e, q) {
-			break
-		}
-		for i := range q.steps {
-			d := b.expect(q.Job, &q.Steps[i])
-			for range q.steps[i].waiting {
-				take(d)
-			}
-		}
-	}
-	last := d
-	for i := range e.Steps {
-		d := b.expect(e.Job, &e.Steps[i])
-		for k := range e.Steps[i].Count {
-			if i > 0 || k >= first {
-				last = max(last, take(d)+d)
-			}
-		}
-	}
-	wait = last - b.chain(e.Job)
-	rank := e.Rank
-	if e.late {
-		rank = ranks
-	}
-	if rank > 0 && wait > 0 {
-		// Work that goes first and comes meanwhile.
-		wait = time.Duration(float64(wait) / max(leastShare, 1-b.pressure(now, rank)))
-	}
-	return wait
-}
-
-// leastShare is the smallest share of a pool that lower ranks are thought to get.
-const leastShare = 0.25
-
-// places lists when each place for a need comes free, the earliest first.
-func (b *Book) places(now time.Time, need job.Size, pool string) (at []time.Duration) {
-	for _, s := range b.order {
-		if s.lost || s.giving || !s.Open() || s.Pool != pool || b.allowed(now, s) == 0 {
-			continue
-		}
-		for range fits(s.Free(), need) {
-			at = append(at, 0)
-		}
-		room := s.Free()
-		room.Cores -= float64(fits(room, need)) * need.Cores
-		runs := make([]*lease.Run, 0, len(s.Runs))
-		for _, r := range s.Runs {
-			runs = append(runs, r)
-		}
-		slices.SortFunc(runs, func(a, c *lease.Run) int { return int(b.rest(now, a) - b.rest(now, c)) })
-		for _, r := range runs { // a place opens when enough has ended
-			room.Cores += r.Need.Cores
-			if need.Cores <= 0 || room.Cores >= need.Cores {
-				room.Cores -= need.Cores
-				at = append(at, b.rest(now, r))
-			}
-		}
-	}
-	slices.Sort(at)
-	return at
-}
-
-// rest is how much longer a run is expected to take.
-func (b *Book) rest(now time.Time, r *lease.Run) time.Duration {
-	e := r.Job.(*entry)
-	if r.Stage == lease.Stopping || e.told {
-		return b.cfg.Limits.Stop
-	}
-	d := b.expect(e.Job, &e.Steps[r.Step])
-	ran := now.Sub(r.At)
-	return max(d-ran, d/5)
-}
