A fault soak over real processes, with a stand-in of the platform

Cause: what the operating system, sockets and signals do is not in virtual time. Change: platform/stand speaks as the store and the workers; soak starts daemons, stops, pauses, kills and restarts them by signals, delays, silences and resets connections by proxies, lets endpoints and store misbehave, and checks what callers and endpoints see.

--- a/internal/tool/grid/grid.go
+++ b/internal/tool/grid/grid.go
@@ -83,7 +83,7 @@
 // Play runs a setup to its end; it must be called inside a synctest bubble.
 func Play(set Setup) *Grid {
 	g := &Grid{
-		Setup: set, Judge: newJudge(), r: rand.New(rand.NewPCG(set.Seed, 99)), began: time.Now(),
+		Setup: set, Judge: NewJudge(), r: rand.New(rand.NewPCG(set.Seed, 99)), began: time.Now(),
 		Plans: fakes.NewTopic[plan.Plan](), Roster: fakes.NewTopic[lease.Info](), Named: fakes.NewTopic[serve.VM](),
 		cuts: map[[2]string]bool{}, away: map[string]bool{}, endpoints: map[string]*fakes.Leased{},
 	}
--- a/internal/tool/grid/judge.go
+++ b/internal/tool/grid/judge.go
@@ -26,7 +26,8 @@
 	Stops  int
 }
 
-func newJudge() *Judge {
+// NewJudge returns a judge that has seen nothing.
+func NewJudge() *Judge {
 	return &Judge{
 		work: map[string]fakes.Work{}, live: map[string]map[string]int{}, done: map[string]int{},
 		began: map[string]bool{}, told: map[string]job.Answer{}, tasks: map[string]int{},
--- /dev/null
+++ b/internal/tool/soak/load.go
@@ -0,0 +1,91 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"dahliawinch/internal/plat/fakes"
+	"dahliawinch/internal/task/batch"
+	"dahliawinch/internal/task/job"
+	"dahliawinch/platform/stand"
+)
+
+const (
+	// patience is how long callers wait for an answer.
+	patience = 2500 * time.Millisecond
+	// again is how long after a broken connection a caller submits its job once more.
+	again = 1300 * time.Millisecond
+	// tries is how often it does.
+	tries = 2
+)
+
+// load submits jobs until ctx ends; callers keep their connections.
+func (s *Soak) load(ctx context.Context, wg *sync.WaitGroup) {
+	r := rand.New(rand.NewPCG(s.Seed, 7))
+	clients := make([]*fasthttp.HostClient, len(s.vms))
+	for i, v := range s.vms {
+		clients[i] = &fasthttp.HostClient{Addr: v.callers.String(), MaxIdemponentCallAttempts: 1}
+	}
+	for n := 1; ctx.Err() == nil; n++ {
+		id := fmt.Sprintf("%08x%08x", s.Seed, n)
+		tasks, run := 1+r.IntN(6), time.Duration(30+r.IntN(600))*time.Millisecond
+		cores := 10 + 20*r.Float64()
+		for i := range tasks {
+			s.judge.Expect(batch.Task{Job: id, Index: i}.String(), fakes.Work{Need: job.Size{Cores: cores}, Run: run})
+		}
+		prefix := []string{"/u/", "/p/"}[r.IntN(2)]
+		first := r.IntN(len(clients))
+		wg.Go(func() { s.submit(clients, first, prefix+id, id, tasks, stand.Job("x", tasks, cores, run)) })
+		time.Sleep(time.Duration(r.ExpFloat64() / s.Rate * float64(time.Second)))
+	}
+}
+
+// submit plays one caller: after a broken connection or an unknown outcome it submits
+// the same job again at another VM.
+func (s *Soak) submit(clients []*fasthttp.HostClient, first int, path, id string, tasks int, body []byte) {
+	a := job.Answer{Outcome: job.Refused}
+	for t := range tries {
+		out := call(clients[(first+t)%len(clients)], path, body)
+		if out != job.Refused {
+			a.Outcome = out // refused only if all tries were
+		}
+		if out != job.Unknown {
+			break
+		}
+		time.Sleep(again)
+	}
+	s.judge.Answered(id, tasks, a)
+	s.mu.Lock()
+	s.told[a.Outcome]++
+	s.mu.Unlock()
+}
+
+func call(c *fasthttp.HostClient, path string, body []byte) job.Outcome {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.Header.SetMethod(fasthttp.MethodPost)
+	req.SetRequestURI(path)
+	req.Header.SetHost(host)
+	req.Header.Set("Dahliawinch-Deadline-Ms", fmt.Sprint(patience.Milliseconds()))
+	req.SetBodyRaw(body)
+	if err := c.DoTimeout(req, resp, patience+time.Second); err != nil {
+		return job.Unknown
+	}
+	switch resp.StatusCode() {
+	case fasthttp.StatusOK:
+		if string(resp.Body()) == `{"state":"complete"}` {
+			return job.Done
+		}
+		return job.Failed
+	case fasthttp.StatusServiceUnavailable, fasthttp.StatusTooManyRequests:
+		return job.Refused
+	default:
+		return job.Unknown
+	}
+}
--- /dev/null
+++ b/internal/tool/soak/soak.go
@@ -0,0 +1,240 @@
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"dahliawinch/internal/plat/fakes"
+	"dahliawinch/internal/task/job"
+	"dahliawinch/internal/task/lease"
+	"dahliawinch/internal/tool/grid"
+	"dahliawinch/platform/stand"
+)
+
+// Options of a run.
+type Options struct {
+	Binary    string // the program that runs daemons
+	Dir       string // for settings and logs
+	Seed      uint64
+	VMs       int
+	Endpoints int
+	Rate      float64 // jobs per second
+	Span      time.Duration
+}
+
+// Report of a run.
+type Report struct {
+	Faults   []string
+	Outcomes map[job.Outcome]int
+	Starts   int
+	Broken   []string
+}
+
+const (
+	pool = "pool"
+	host = "soak.example"
+	// warm is how long the daemons have before callers come.
+	warm = 2 * time.Second
+	// settle is how long runs may take to end after the last caller.
+	settle = 4 * time.Second
+)
+
+// Soak is a deployment of processes in play.
+type Soak struct {
+	Options
+	judge *grid.Judge
+	store *stand.Store
+	r     *rand.Rand // of the faults, one goroutine
+
+	mu     sync.Mutex
+	vms    []*vm
+	eps    []*fakes.Leased
+	doors  []*proxy // before each endpoint
+	vault  *proxy   // before the store
+	faults []string
+	told   map[job.Outcome]int
+	stops  []func()
+}
+
+// vm is one daemon and its process.
+type vm struct {
+	n        int
+	callers  netip.AddrPort
+	settings string
+	cmd      *exec.Cmd
+	log      *os.File
+	ended    chan struct{}
+}
+
+// Run plays one seed.
+func Run(ctx context.Context, o Options) (Report, error) {
+	s := &Soak{Options: o, judge: grid.NewJudge(), store: stand.NewStore(), r: rand.New(rand.NewPCG(o.Seed, 31)), told: map[job.Outcome]int{}}
+	defer s.end()
+	if err := s.build(); err != nil {
+		return Report{}, fmt.Errorf("soak seed %d: %w", o.Seed, err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, warm+o.Span)
+	defer cancel()
+	var wg sync.WaitGroup
+	wg.Go(func() { s.disturb(ctx) })
+	time.Sleep(warm)
+	s.load(ctx, &wg)
+	wg.Wait()
+	s.calm()
+	time.Sleep(settle)
+	rep := Report{Faults: s.faults, Outcomes: s.told, Starts: s.judge.Starts, Broken: s.judge.Broken()}
+	if n := s.judge.Running(); n > 0 {
+		rep.Broken = append(rep.Broken, fmt.Sprintf("%d runs never ended", n))
+	}
+	return rep, nil
+}
+
+func (s *Soak) serve(h fasthttp.RequestHandler) (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", fmt.Errorf("listen: %w", err)
+	}
+	srv := &fasthttp.Server{Handler: h, CloseOnShutdown: true}
+	go func() { _ = srv.Serve(l) }()
+	s.stops = append(s.stops, func() { _ = l.Close() })
+	return l.Addr().String(), nil
+}
+
+func (s *Soak) build() (err error) {
+	at, err := s.serve(s.store.Handle)
+	if err != nil {
+		return err
+	}
+	if s.vault, err = newProxy(at); err != nil {
+		return fmt.Errorf("store: %w", err)
+	}
+	s.store.Put(stand.Operator, "config", stand.Config(1, host, pool, "/u/", "/p/"))
+	for i := range s.Endpoints {
+		if err := s.endpoint(i); err != nil {
+			return err
+		}
+	}
+	for i := range s.VMs {
+		v, err := s.settings(i)
+		if err != nil {
+			return err
+		}
+		s.vms = append(s.vms, v)
+		if err := s.start(v); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func domain(n int) string { return fmt.Sprintf("fd-%d", n%2) }
+
+func (s *Soak) endpoint(i int) error {
+	limits := lease.Limits{Hold: time.Second, Stop: 50 * time.Millisecond}
+	in := lease.Info{ID: fmt.Sprintf("ep-%02d", i), Domain: domain(i), Pool: pool, Size: job.Size{Cores: 64, Memory: 128}}
+	e := fakes.NewLeased(in, limits, s.judge, time.Duration(i)*time.Second, s.Seed+uint64(i))
+	at, err := s.serve(stand.Worker(e))
+	if err != nil {
+		return err
+	}
+	p, err := newProxy(at)
+	if err != nil {
+		return fmt.Errorf("endpoint: %w", err)
+	}
+	in.Addr = p.l.Addr().(*net.TCPAddr).AddrPort()
+	s.eps, s.doors = append(s.eps, e), append(s.doors, p)
+	s.store.Put(stand.Workers, in.ID, stand.Entry(in))
+	return nil
+}
+
+// free returns an address that nobody listens on.
+func free() (netip.AddrPort, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return netip.AddrPort{}, fmt.Errorf("find a port: %w", err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().(*net.TCPAddr).AddrPort(), nil
+}
+
+func (s *Soak) settings(i int) (*vm, error) {
+	var at [3]netip.AddrPort
+	for k := range at {
+		var err error
+		if at[k], err = free(); err != nil {
+			return nil, err
+		}
+	}
+	text, err := json.Marshal(map[string]any{
+		"name": fmt.Sprint("vm-", i), "domain": domain(i), "caller": at[0], "ready": at[1], "mesh": at[2], "store": s.vault.l.Addr().String(),
+	})
+	if err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	v := &vm{n: i, callers: at[0], settings: filepath.Join(s.Dir, fmt.Sprintf("vm-%d.json", i))}
+	if err := os.WriteFile(v.settings, text, 0o600); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	v.log, err = os.Create(filepath.Join(s.Dir, fmt.Sprintf("vm-%d.log", i)))
+	if err != nil {
+		return nil, fmt.Errorf("log: %w", err)
+	}
+	return v, nil
+}
+
+// start starts a daemon's process; the caller knows that it is not running.
+func (s *Soak) start(v *vm) error {
+	cmd := exec.Command(s.Binary, "serve", v.settings) //nolint:noctx // it is ended by signals
+	cmd.Stdout, cmd.Stderr = v.log, v.log
+	if err := cmd.Start(); err != nil {
+		return fmt.Errorf("start vm %d: %w", v.n, err)
+	}
+	ended := make(chan struct{})
+	s.mu.Lock()
+	v.cmd, v.ended = cmd, ended
+	s.mu.Unlock()
+	go func() {
+		_ = cmd.Wait() // how a killed process ended says nothing
+		close(ended)
+	}()
+	return nil
+}
+
+func (s *Soak) signal(v *vm, sig syscall.Signal) {
+	s.mu.Lock()
+	p := v.cmd.Process
+	s.mu.Unlock()
+	_ = p.Signal(sig) // it may have ended already
+}
+
+// end ends what this run started, by its own handles.
+func (s *Soak) end() {
+	for _, v := range s.vms {
+		if v.cmd != nil {
+			s.signal(v, syscall.SIGKILL)
+			<-v.ended
+		}
+		_ = v.log.Close()
+	}
+	for _, p := range s.doors {
+		p.close()
+	}
+	if s.vault != nil {
+		s.vault.close()
+	}
+	for _, stop := range s.stops {
+		stop()
+	}
+}
--- /dev/null
+++ b/internal/tool/soak/soak_test.go
@@ -0,0 +1,50 @@
+package soak
+
+import (
+	"flag"
+	"fmt"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"dahliawinch/internal/task/job"
+)
+
+var (
+	seeds = flag.Int("seeds", 1, "seeds to play")
+	seed  = flag.Uint64("seed", 1, "the first of them")
+	span  = flag.Duration("span", 6*time.Second, "how long callers come")
+)
+
+// found are seeds that once broke a promise, each with its cause.
+var found = []uint64{}
+
+// Real daemons under faults from outside: no task runs twice at the same time, no refused
+// job began, no answer is partial, every run ends, and some jobs are done.
+func TestProcessesUnderFaults(t *testing.T) {
+	binary := filepath.Join(t.TempDir(), "dahliawinch")
+	if out, err := exec.CommandContext(t.Context(), "go", "build", "-o", binary, "dahliawinch").CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	all := append([]uint64{}, found...)
+	for i := range *seeds {
+		all = append(all, *seed+uint64(i))
+	}
+	for _, sd := range all {
+		t.Run(fmt.Sprint(sd), func(t *testing.T) {
+			t.Parallel()
+			r, err := Run(t.Context(), Options{Binary: binary, Dir: t.TempDir(), Seed: sd, VMs: 4, Endpoints: 8, Rate: 25, Span: *span})
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Logf("%v starts %d faults %q", r.Outcomes, r.Starts, r.Faults)
+			for _, b := range r.Broken {
+				t.Error(b)
+			}
+			if r.Outcomes[job.Done] == 0 {
+				t.Error("no job was done")
+			}
+		})
+	}
+}
