A call's own job stays as it came

Cause (race detector): a parked job's remaining time was written while its caller's goroutine read it. Change: each owner gets a copy with age and time left. Measured: the tests that raced pass under the race detector.

--- a/internal/edge/serve/submit.go
+++ b/internal/edge/serve/submit.go
@@ -121,13 +121,13 @@
 		}
 		c.tried = append(c.tried, vm)
 		c.to = vm
-		c.job.Age = now.Sub(c.came)
-		c.job.Left = c.due.Sub(now)
+		j := *c.job // the call's own stays as it came
+		j.Age, j.Left = now.Sub(c.came), c.due.Sub(now)
 		if vm == d.cfg.VM {
-			d.book.Submit(now, owner.Key{VM: vm, Inc: d.cfg.Inc, Call: c.n}, c.job)
+			d.book.Submit(now, owner.Key{VM: vm, Inc: d.cfg.Inc, Call: c.n}, &j)
 			return
 		}
-		if err := d.parts.Mesh.Cast(vm, &frame.Hand{At: now, Call: c.n, Job: *c.job}); err != nil {
+		if err := d.parts.Mesh.Cast(vm, &frame.Hand{At: now, Call: c.n, Job: j}); err != nil {
 			d.log.Info("owner unreachable", "job", c.job.ID, "owner", vm, "err", err)
 			d.table.Down(vm, now)
 			continue
--- a/internal/tool/grid/load.go
+++ b/internal/tool/grid/load.go
@@ -92,7 +92,7 @@
 		// Kinds with a raised rate come several at a time in the mean.
 		for range poisson(g.r, rate) {
 			n++
-			j, aim := g.draw(k, n)
+			j, aim := g.draw(g.r, k, n)
 			go func() {
 				g.submit(k, j, aim)
 				done <- struct{}{}
@@ -127,18 +127,18 @@
 }
 
 // draw makes a job whose tasks' work differs a little and is declared wrongly.
-func (g *Grid) draw(kind, n int) (batch.Job, time.Duration) {
+func (g *Grid) draw(r *rand.Rand, kind, n int) (batch.Job, time.Duration) {
 	k := g.Kinds[kind]
-	width := max(1, int(math.Round(lognormal(g.r, float64(k.Width), 0.4))))
-	cores := min(41, lognormal(g.r, 27, 0.2))
-	work := lognormal(g.r, float64(k.Work), 0.4)
-	told := work * lognormal(g.r, 1, 0.4)
+	width := max(1, int(math.Round(lognormal(r, float64(k.Width), 0.4))))
+	cores := min(41, lognormal(r, 27, 0.2))
+	work := lognormal(r, float64(k.Work), 0.4)
+	told := work * lognormal(r, 1, 0.4)
 	j := batch.Job{ID: fmt.Sprintf("%016x", n), Spec: k.Name, Steps: []batch.Step{{
 		Count: width, Need: job.Size{Cores: cores, Memory: 0.0625}, Run: time.Duration(told),
 	}}}
 	longest := 0.0
 	for i := range width {
-		w := lognormal(g.r, work, 0.15)
+		w := lognormal(r, work, 0.15)
 		longest = max(longest, w)
 		g.Judge.Expect(batch.Task{Job: j.ID, Index: i}.String(), fakes.Work{Need: j.Steps[0].Need, Run: time.Duration(w)})
 	}
