--- a/internal/tool/soak/proxy.go
+++ b/internal/tool/soak/proxy.go
@@ -3,7 +3,6 @@
 package soak
 
 import (
-	"io"
 	"net"
 	"sync"
 	"time"
@@ -111,9 +110,6 @@
 			}
 		}
 		if err != nil {
-			if err != io.EOF {
-				return
-			}
 			return
 		}
 	}
