One unreadable record holds up no others; the platform's names stay in its folder

Cause: a record of a worker that can't be decoded made the whole read fail and repeat; a header of the platform stood in the soak. Change: such records are logged and skipped; the soak's caller moved to the stand-in.

--- a/internal/cli/cmds/cmd_serve.go
+++ b/internal/cli/cmds/cmd_serve.go
@@ -18,9 +18,6 @@
 	"dahliawinch/platform"
 )
 
-// settingsVar names the environment variable with the path of the settings.
-const settingsVar = "DAHLIAWINCH_SETTINGS"
-
 // linesPerSecond of one message are logged, so that every request of a busy VM can be
 // followed (it takes about 40 a second) and a flood stays under 100 KB a second.
 const linesPerSecond = 200
@@ -30,10 +27,10 @@
 
 var cmdServe = command{
 	use: "serve [SETTINGS.json]", short: "Run the daemon of one entry VM on leased endpoints",
-	long: "Run the daemon of one entry VM whose endpoints are leased from a platform. The\nsettings file is named here or by the variable " + settingsVar + ". SIGHUP or a\nchange of the file takes it over again; SIGTERM hands over and ends.",
+	long: "Run the daemon of one entry VM whose endpoints are leased from a platform. The\nsettings file is named here or by the variable " + platform.SettingsVar + ". SIGHUP or a\nchange of the file takes it over again; SIGTERM hands over and ends.",
 	args: cobra.MaximumNArgs(1),
 	action: func(c *cobra.Command, args []string) error {
-		path := os.Getenv(settingsVar)
+		path := os.Getenv(platform.SettingsVar)
 		if len(args) == 1 {
 			path = args[0]
 		}
--- a/internal/plat/feed/feed.go
+++ b/internal/plat/feed/feed.go
@@ -17,7 +17,8 @@
 type Update[T any] struct {
 	Key   string
 	Value T
-	Gone  bool // the key was removed
+	Gone  bool  // the key was removed
+	Err   error // the record can't be read; what was known of the key stays
 }
 
 // Source gives the records of one topic, decoded.
@@ -90,7 +91,7 @@
 			return err
 		}
 		*known, *next = true, at
-		f.Apply(all, true)
+		f.apply(all, true)
 		return nil
 	}
 	more, at, err := f.Source.Next(ctx, *next, f.Pace.Wait)
@@ -99,11 +100,25 @@
 	}
 	*next = at
 	if len(more) > 0 {
-		f.Apply(more, false)
+		f.apply(more, false)
 	}
 	return nil
 }
 
+// apply passes on what could be read. One record that can't be must not hold up the
+// others: whoever wrote it goes on writing.
+func (f *Follower[T]) apply(us []Update[T], whole bool) {
+	good := us[:0]
+	for _, u := range us {
+		if u.Err != nil {
+			f.Log.Warn("record unreadable", "feed", f.Name, "key", u.Key, "err", u.Err)
+			continue
+		}
+		good = append(good, u)
+	}
+	f.Apply(good, whole)
+}
+
 func pause(ctx context.Context, d time.Duration) {
 	if d <= 0 {
 		return
--- a/internal/tool/soak/load.go
+++ b/internal/tool/soak/load.go
@@ -50,7 +50,7 @@
 func (s *Soak) submit(clients []*fasthttp.HostClient, first int, path, id string, tasks int, body []byte) {
 	a := job.Answer{Outcome: job.Refused}
 	for t := range tries {
-		out := call(clients[(first+t)%len(clients)], path, body)
+		out := stand.Submit(clients[(first+t)%len(clients)], host, path, body, patience)
 		if out != job.Refused {
 			a.Outcome = out // refused only if all tries were
 		}
@@ -64,28 +64,3 @@
 	s.told[a.Outcome]++
 	s.mu.Unlock()
 }
-
-func call(c *fasthttp.HostClient, path string, body []byte) job.Outcome {
-	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(req)
-	defer fasthttp.ReleaseResponse(resp)
-	req.Header.SetMethod(fasthttp.MethodPost)
-	req.SetRequestURI(path)
-	req.Header.SetHost(host)
-	req.Header.Set("Dahliawinch-Deadline-Ms", fmt.Sprint(patience.Milliseconds()))
-	req.SetBodyRaw(body)
-	if err := c.DoTimeout(req, resp, patience+time.Second); err != nil {
-		return job.Unknown
-	}
-	switch resp.StatusCode() {
-	case fasthttp.StatusOK:
-		if string(resp.Body()) == `{"state":"complete"}` {
-			return job.Done
-		}
-		return job.Failed
-	case fasthttp.StatusServiceUnavailable, fasthttp.StatusTooManyRequests:
-		return job.Refused
-	default:
-		return job.Unknown
-	}
-}
