--- a/internal/plat/feed/feed_test.go
+++ b/internal/plat/feed/feed_test.go
@@ -44,15 +44,18 @@
 		done := make(chan struct{})
 		go func() { f.Run(ctx); close(done) }()
 		time.Sleep(time.Second)
+		synctest.Wait()
 		is.Equal(state, map[string]int{"a": 1, "b": 2})
 		topic.Down(true)
 		time.Sleep(3 * time.Second)
+		synctest.Wait()
 		is.Equal(len(state), 2) // what was heard stays in force
 		topic.Remove("a")
 		topic.Put("b", 3)
 		topic.Compact()
 		topic.Down(false)
 		time.Sleep(2 * time.Second)
+		synctest.Wait()
 		is.Equal(state, map[string]int{"b": 3})
 		cancel()
 		<-done
