A refused stop proves nothing

Cause (reading the error paths once more): a stop that an unhealthy endpoint refused counted as confirmed, so that a start without an answer was taken for over while it could still be carried out: two runs at a time.

--- a/internal/edge/serve/perform.go
+++ b/internal/edge/serve/perform.go
@@ -120,14 +120,17 @@
 			d.mu.Unlock()
 			return
 		}
-		if err == nil || refused != nil {
+		if err == nil {
 			d.stopped(s)
 			return
 		}
 		if d.ctx.Err() != nil {
 			return
 		}
-		d.log.Info("stop without answer", "task", s.Name.Task, "run", s.Name.Num, "endpoint", s.At.ID, "err", err)
+		d.log.Info("stop not confirmed", "task", s.Name.Task, "run", s.Name.Num, "endpoint", s.At.ID, "err", err)
+		if refused != nil { // it did nothing, so the run may go on or begin yet
+			pause(d.ctx, renewAgain)
+		}
 	}
 }
 
@@ -219,11 +222,15 @@
 	rest := err != nil || !ep.Known
 	d.mu.Unlock()
 	if rest {
-		t := time.NewTimer(renewAgain)
-		defer t.Stop()
-		select {
-		case <-t.C:
-		case <-d.ctx.Done():
-		}
+		pause(d.ctx, renewAgain)
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
 	}
 }
--- a/internal/plat/agent/agent.go
+++ b/internal/plat/agent/agent.go
@@ -38,7 +38,8 @@
 	// Start returns nil when the run is there; a *RefusedError when it surely is not;
 	// ErrUnsent when nothing was sent; any other error leaves it open.
 	Start(ctx context.Context, to Target, o Start) error
-	// Stop returns nil or a *RefusedError when the run will surely never start any more.
+	// Stop returns nil when the run will end and will surely never start any more; a
+	// *RefusedError when nothing was done, so that it may go on or start yet.
 	Stop(ctx context.Context, to Target, n lease.Name, fence uint64) error
 	// Renew returns what runs and what ended.
 	Renew(ctx context.Context, to Target, o Renew) (lease.Report, error)
