The burst test judges four plays, with higher bounds

Tasks that end in the same virtual instant are taken in by turns that differ from play to play, so the figure of one play is noise of that size; no decision differs. Change: mean of four seeds, bounds raised from 0.70/0.58/0.62 to 0.73/0.65/0.66 (urgent, all, earned), so the test is stricter on what it means to judge.

--- a/internal/tool/grid/load.go
+++ b/internal/tool/grid/load.go
@@ -226,6 +226,15 @@
 	Asked, InAim, Late, Refused, Failed int
 }
 
+// Add sums up the counts of several plays.
+func (c *Count) Add(o Count) {
+	c.Asked += o.Asked
+	c.InAim += o.InAim
+	c.Late += o.Late
+	c.Refused += o.Refused
+	c.Failed += o.Failed
+}
+
 // Share is the part of jobs within their objective.
 func (c Count) Share() float64 { return float64(c.InAim) / float64(max(1, c.Asked)) }
 
--- a/internal/tool/grid/load_test.go
+++ b/internal/tool/grid/load_test.go
@@ -25,6 +25,11 @@
 	plain
 )
 
+// plays is how many seeds a burst is judged by. The share of one kind's 255 jobs in one
+// play has a standard deviation of 0.035, since tasks that end in the same instant are
+// taken in by turns that differ from play to play; that of the mean is half as large.
+const plays = 4
+
 // Symptom: in a burst of all kinds most answers come too late to be of use. Sequence:
 // two and a half times the usual load comes for four seconds, half as much again as the
 // endpoints can do. Cause: jobs are taken whose objective can't be met, and each makes
@@ -32,17 +37,26 @@
 // of 296 of 650 in aim in the first two seconds of such a burst.
 func TestBurstOfAllKindsIsServedInTimeOrRefusedEarly(t *testing.T) {
 	is := is.New(t)
-	set := Users(120)
 	from, to := 4*time.Second, 8*time.Second
-	set.Rate = burst(2.5, from, to, urgent, long, plain)
-	g := play(t, set)
-	report(t, g, from, to)
-	all := g.Counts(-1, from, to)
-	is.True(g.Counts(urgent, from, to).Share() >= 0.7)
-	is.True(all.Share() >= 0.58)
-	is.True(g.Earned(from, to) >= 0.62)                     // the endpoints can do 0.67 of the work that comes
+	var all, first, after Count
+	earned := 0.0
+	for seed := range uint64(plays) {
+		set := Users(120)
+		set.Seed = seed + 1
+		set.Rate = burst(2.5, from, to, urgent, long, plain)
+		g := play(t, set)
+		report(t, g, from, to)
+		all.Add(g.Counts(-1, from, to))
+		first.Add(g.Counts(urgent, from, to))
+		after.Add(g.Counts(-1, to+time.Second, to+3*time.Second))
+		earned += g.Earned(from, to) / plays
+	}
+	t.Logf("urgent %.3f, all %.3f, earned %.3f, after it %.3f", first.Share(), all.Share(), earned, after.Share())
+	is.True(first.Share() >= 0.73)
+	is.True(all.Share() >= 0.65)
+	is.True(earned >= 0.66)                                 // the endpoints can do 0.67 of the work that comes
 	is.True(float64(all.Failed) <= 0.01*float64(all.Asked)) // held until it was of no use
-	is.True(g.Counts(-1, to+time.Second, to+3*time.Second).Share() >= 0.97)
+	is.True(after.Share() >= 0.97)
 }
 
 // Symptom: urgent jobs wait behind routine ones. Sequence: the plain kind alone comes at
