A start without answer is repeated under its number; lost orders are no samples of the time-out

Change: up to four sends of a start, after 25 ms each; a refusal after an unanswered send proves nothing; misses let the time-out grow only when four in a row had no answer since; renewals of 30 ms for 2 s after a loss.

--- a/internal/base/pace/pace.go
+++ b/internal/base/pace/pace.go
@@ -16,6 +16,9 @@
 	// missed is the part of the last calls that must have timed out for the time-out to
 	// grow: a few are lost for reasons of their own, many mean that it is too short.
 	missed = 0.35
+	// inRow is how many calls in a row must have timed out besides, sent after the last
+	// answer: while one call in two is lost the time-out grows slower than it shrinks.
+	inRow = 4
 	// backMost bounds how far it grows; the others are its steps.
 	backMost = 8
 	backUp   = 1.5
@@ -29,27 +32,42 @@
 	mu   sync.Mutex
 	mean time.Duration
 	dev  time.Duration
-	miss float64 // part of the last calls that timed out
-	back float64 // factor of the time-out
+	miss float64   // part of the last calls that timed out
+	last time.Time // when a call was last answered
+	row  int       // calls sent since that timed out
+	back float64   // factor of the time-out
 }
 
 // New returns a pace whose time-outs stay between two bounds.
 func New(least, most time.Duration) *Pace { return &Pace{least: least, most: most, back: 1} }
 
-// Miss takes in a call that timed out.
-func (p *Pace) Miss() {
+// Miss takes in that a call timed out which was sent at a time. If another was answered
+// since, the VM and its links are quick, and this one is lost: with a longer time-out
+// the next one that is lost would only be waited for longer.
+func (p *Pace) Miss(sent time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.miss += gain * (1 - p.miss)
-	if p.miss > missed {
+	if p.last.After(sent) {
+		return
+	}
+	if p.row++; p.miss > missed && p.row >= inRow {
 		p.back = min(backMost, p.back*backUp)
 	}
 }
 
-// Note takes in the time of a call that was answered.
-func (p *Pace) Note(took time.Duration) {
+// Heard takes in that a call was answered whose time says nothing of the others'.
+func (p *Pace) Heard(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.last, p.row = now, 0
+}
+
+// Note takes in when a call was answered and how long that took.
+func (p *Pace) Note(now time.Time, took time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.last, p.row = now, 0
 	p.miss -= gain * p.miss
 	p.back = max(1, p.back*backDown)
 	d := took - p.mean
@@ -63,6 +81,10 @@
 func (p *Pace) Timeout() time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	return p.timeout()
+}
+
+func (p *Pace) timeout() time.Duration {
 	t := max(p.least, p.mean+devs*p.dev)
 	return min(p.most, time.Duration(p.back*float64(t)))
 }
--- a/internal/edge/serve/node.go
+++ b/internal/edge/serve/node.go
@@ -102,6 +102,7 @@
 	reached map[string]reached // groups of other domains
 	probing map[string]bool
 	blind   map[string]time.Time // when an owned group was last seen to answer
+	lossy   time.Time            // until then orders are thought to get lost
 }
 
 // reached tells since when, and when last, an endpoint of a group was reached.
--- /dev/null
+++ b/internal/edge/serve/order_test.go
@@ -0,0 +1,103 @@
+package serve
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"dahliawinch/internal/base/meter"
+	"dahliawinch/internal/base/timer"
+	"dahliawinch/internal/plat/agent"
+	"dahliawinch/internal/task/batch"
+	"dahliawinch/internal/task/job"
+	"dahliawinch/internal/task/lease"
+	"dahliawinch/internal/task/owner"
+)
+
+// script answers starts in turn and refuses all stops.
+type script struct {
+	ill
+	answers []error
+	starts  []agent.Start
+}
+
+var errTimeout = errors.New("timeout of the client's own")
+
+func (s *script) Start(_ context.Context, _ agent.Target, o agent.Start) error {
+	s.starts = append(s.starts, o)
+	err := s.answers[0]
+	if len(s.answers) > 1 {
+		s.answers = s.answers[1:]
+	}
+	return err
+}
+
+// ordered plays the start of a job's only task.
+func ordered(t *testing.T, answers ...error) (n *Node, a *script, run *lease.Run) {
+	a = &script{answers: answers}
+	at := netip.MustParseAddrPort("127.0.0.1:1")
+	n = NewNode(t.Context(), Config{VM: at, Domain: "a", Limits: lease.Limits{Hold: time.Second, Stop: 50 * time.Millisecond}}, Parts{
+		Platform: Platform{Agent: a}, Timers: timer.New(timer.Wall{}), Clock: timer.Wall{}, Meter: meter.New(),
+		Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
+	})
+	now := time.Now()
+	n.mu.Lock()
+	n.book.Own(lease.Info{ID: "e", Addr: at, Pool: "p", Size: job.Size{Cores: 64}}, 1)
+	n.book.Renewed(now, now, n.book.Find("e"), lease.Report{Clock: 1})
+	n.book.Submit(now, owner.Key{VM: at, Call: 1}, &batch.Job{
+		ID: "j", Pool: "p", Attempts: 3, Stretch: 1.6, Slack: time.Second, Left: time.Minute,
+		Steps: []batch.Step{{Count: 1, Need: job.Size{Cores: 9}, Run: time.Second}},
+	})
+	s := n.book.Take().Starts[0]
+	n.mu.Unlock()
+	n.start(s)
+	n.Close()
+	n.Wait()
+	return n, a, s.Run
+}
+
+// Symptom: short jobs are late by a multiple of their work. Sequence: an endpoint leaves a
+// start unanswered. Cause: what becomes of it is waited for, though the same order under
+// the same number may be sent again at once.
+func TestUnansweredStartIsRepeatedUnderItsNumber(t *testing.T) {
+	is := is.New(t)
+	_, a, run := ordered(t, errTimeout, errTimeout, nil)
+	is.Equal(len(a.starts), 3)
+	is.Equal(a.starts[0], a.starts[2])
+	is.Equal(run.Stage, lease.On)
+}
+
+// Symptom: a task runs twice at the same time. Sequence: a start gets no answer, the
+// repeated one is refused for want of room, the task is started elsewhere, and the first
+// order arrives. Cause: the refusal of the second order was taken for that of both.
+func TestRefusalAfterAnUnansweredStartProvesNothing(t *testing.T) {
+	is := is.New(t)
+	_, _, run := ordered(t, errTimeout, &agent.RefusedError{Why: agent.NoRoom})
+	is.Equal(run.Stage, lease.Stopping)
+}
+
+func TestStartIsGivenUpAfterItsTries(t *testing.T) {
+	is := is.New(t)
+	_, a, run := ordered(t, errTimeout)
+	is.Equal(len(a.starts), startTries)
+	is.Equal(run.Stage, lease.Stopping)
+}
+
+// Symptom: while some orders are lost all are waited for longer and longer, up to 0.4 s.
+// Sequence: the client's own timer ends a call just before that of the context. Cause: the
+// call's time is taken into the mean as if it had been answered.
+func TestLostOrderIsNoSampleOfTheTimeOut(t *testing.T) {
+	is := is.New(t)
+	n, a, _ := ordered(t, errTimeout)
+	for range 50 {
+		n.pace.Note(time.Now(), 3*time.Millisecond)
+		_ = n.order(&lease.Endpoint{}, a.starts[0]) // lost
+	}
+	is.Equal(n.pace.Timeout(), orderLeast)
+}
--- a/internal/edge/serve/perform.go
+++ b/internal/edge/serve/perform.go
@@ -14,12 +14,19 @@
 const (
 	// orderLeast and orderMost bound how long a start or stop may go without an answer,
 	// which takes 2 to 5 ms on a VM with time to spare. After it the connection is taken
-	// for silent and the start for one that may yet be carried out.
-	orderLeast = 60 * time.Millisecond
+	// for silent and the order is repeated.
+	orderLeast = 25 * time.Millisecond
 	orderMost  = 400 * time.Millisecond
+	// startTries is how often a start is sent that gets no answer. While one order in two
+	// is lost, one start in sixteen ends in doubt.
+	startTries = 4
 	// renewWait is how long a renewal waits for an end. It bounds how long ends go
 	// unnoticed when a renewal or its answer is lost.
 	renewWait = 150 * time.Millisecond
+	// lossyWait takes its place for lossyFor after an order got no answer: calls cost
+	// little, and an urgent job of eight tasks is late with one end unnoticed.
+	lossyWait = 30 * time.Millisecond
+	lossyFor  = 2 * time.Second
 	// renewGrace at least is added until a renewal counts as unanswered.
 	renewGrace = 60 * time.Millisecond
 	// renewAgain is the pause after a renewal that failed or found orphans.
@@ -67,35 +74,78 @@
 
 func target(ep *lease.Endpoint) agent.Target { return agent.Target{ID: ep.ID, Addr: ep.Addr} }
 
-// start orders a run.
+// start orders a run. An order without an answer is repeated with the same number, which
+// does nothing where the run is or was there; nothing else finds out as soon whether it is.
 func (d *Node) start(s owner.Start) {
+	d.parts.Meter.Start()
+	n := lease.Name{Task: s.Run.Name, Num: s.Run.Num}
+	o := agent.Start{Name: n, Spec: s.Spec, Until: s.Until, Fence: s.Fence}
+	silent, err := 0, error(nil)
+	for silent < startTries {
+		if err = d.order(s.At, o); !unanswered(err) {
+			break
+		}
+		silent++
+		if !d.missed(s) {
+			break
+		}
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.settle(s, silent, err)
+	d.perform()
+}
+
+// unanswered reports whether an order may have been carried out.
+func unanswered(err error) bool {
+	var refused *agent.RefusedError
+	return err != nil && !errors.As(err, &refused) && !errors.Is(err, agent.ErrUnsent)
+}
+
+// order sends a start once.
+func (d *Node) order(ep *lease.Endpoint, o agent.Start) error {
 	began := d.now()
 	ctx, cancel := context.WithTimeout(d.ctx, d.pace.Timeout())
 	defer cancel()
-	d.parts.Meter.Start()
-	n := lease.Name{Task: s.Run.Name, Num: s.Run.Num}
-	err := d.parts.Agent.Start(ctx, target(s.At), agent.Start{Name: n, Spec: s.Spec, Until: s.Until, Fence: s.Fence})
-	if errors.Is(err, context.DeadlineExceeded) || ctx.Err() != nil {
-		d.pace.Miss()
-	} else if !errors.Is(err, agent.ErrUnsent) {
-		d.pace.Note(d.now().Sub(began))
+	err := d.parts.Agent.Start(ctx, target(ep), o)
+	switch {
+	case unanswered(err):
+		d.pace.Miss(began)
+	case !errors.Is(err, agent.ErrUnsent):
+		d.pace.Note(d.now(), d.now().Sub(began))
 	}
+	return err //nolint:wrapcheck // logged with the endpoint by the book
+}
+
+// missed takes in that a start got no answer and reports whether it is still open.
+func (d *Node) missed(s owner.Start) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.lossy = d.now().Add(lossyFor)
+	return d.ctx.Err() == nil && s.Run.Stage == lease.Sent
+}
+
+// settle takes in how a start ended; the caller holds the lock. After an order without an
+// answer a refusal says only that the run isn't there now: the order may yet arrive, or
+// the run have ended.
+func (d *Node) settle(s owner.Start, silent int, err error) {
 	now := d.now()
 	var refused *agent.RefusedError
 	switch {
 	case err == nil:
 		d.book.Started(now, s.At, s.Run)
 	case errors.As(err, &refused):
-		d.book.Refused(now, s.At, s.Run, refused.Why)
+		if silent > 0 {
+			d.book.Unsure(now, s.At, s.Run, err)
+		} else {
+			d.book.Refused(now, s.At, s.Run, refused.Why)
+		}
 		d.fenced(refused.Why, s.Fence)
-	case errors.Is(err, agent.ErrUnsent):
+	case errors.Is(err, agent.ErrUnsent) && silent == 0:
 		d.book.Unsent(now, s.At, s.Run, err)
 	default:
 		d.book.Unsure(now, s.At, s.Run, err)
 	}
-	d.perform()
 }
 
 // fenced notes that a fence proved too low.
@@ -185,6 +235,9 @@
 		o := agent.Renew{Fence: ep.Fence, Cursor: ep.Cursor}
 		if ep.Known && !ep.Silent && len(ep.Runs) > 0 {
 			o.Until, o.Wait = ep.Until(now), renewWait
+			if now.Before(d.lossy) {
+				o.Wait = lossyWait
+			}
 		}
 		d.mu.Unlock()
 		if idle {
@@ -200,7 +253,11 @@
 }
 
 func (d *Node) renewOnce(ep *lease.Endpoint, o agent.Renew, sent time.Time) {
-	ctx, cancel := context.WithTimeout(d.ctx, o.Wait+max(renewGrace, d.pace.Timeout()))
+	grace := max(renewGrace, d.pace.Timeout())
+	if o.Wait < renewWait {
+		grace = d.pace.Timeout()
+	}
+	ctx, cancel := context.WithTimeout(d.ctx, o.Wait+grace)
 	r, err := d.parts.Agent.Renew(ctx, target(ep), o)
 	cancel()
 	if d.ctx.Err() != nil {
@@ -211,11 +268,15 @@
 	var refused *agent.RefusedError
 	switch {
 	case err == nil:
+		d.pace.Heard(now)
 		d.book.Renewed(now, sent, ep, r)
 	case errors.As(err, &refused) && (refused.Why == agent.Fenced || refused.Why == agent.Dead):
 		d.book.Lose(now, ep.ID, refused.Why == agent.Dead, "it refused a renewal: "+refused.Why.String())
 		d.fenced(refused.Why, o.Fence)
 	default:
+		if !ep.Silent {
+			d.lossy = now.Add(lossyFor)
+		}
 		d.book.Quiet(now, ep, err)
 	}
 	d.perform()
--- a/internal/tool/grid/fault_test.go
+++ b/internal/tool/grid/fault_test.go
@@ -1,6 +1,7 @@
 package grid
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -121,20 +122,26 @@
 	is.True(g.Counts(-1, hit, hit+8*time.Second).Share() >= 0.98)
 }
 
-// Symptom: half of all short jobs are late while a few orders are lost. Sequence:
-// endpoints leave one order in twenty unanswered and carry it out seconds later. Cause:
-// an order is waited for far longer than an answer takes, and its task is held back until
-// the lease runs out. Orders of 60 ms and a look after a stop: 0.73 to 0.88 of a day's
-// worth.
+// Symptom: short jobs are late while a few orders are lost, and nothing is served while
+// many are. Sequence: endpoints leave a share of the orders unanswered and carry them out
+// seconds later. Cause: an order is waited for far longer than an answer takes, and then
+// its task is held back until it is sure that nothing runs; ends go unnoticed with the
+// renewal that was lost; endpoints are taken for bad. An order that is repeated after 25
+// ms with the same number, and shorter renewals after a loss: 0.78 to 0.99 of the jobs in
+// aim with one order in eighteen lost, 0.01 to 0.57 with one in two.
 func TestOrdersCarriedOutLate(t *testing.T) {
-	is := is.New(t)
-	g := play(t, faulty(func(g *Grid) {
-		for i := range g.Endpoints {
-			g.Endpoint(i).Set(fakes.Manners{Late: 0.055, Delay: 3 * time.Second})
-		}
-	}))
-	report(t, g, hit, hit+8*time.Second)
-	is.True(g.Counts(-1, hit, hit+8*time.Second).Share() >= 0.75)
+	for _, c := range []struct{ lost, share float64 }{{0.055, 0.96}, {0.5, 0.5}} {
+		t.Run(fmt.Sprint(c.lost), func(t *testing.T) {
+			is := is.New(t)
+			g := play(t, faulty(func(g *Grid) {
+				for i := range g.Endpoints {
+					g.Endpoint(i).Set(fakes.Manners{Late: c.lost, Delay: 3 * time.Second})
+				}
+			}))
+			report(t, g, hit, hit+8*time.Second)
+			is.True(g.Counts(-1, hit, hit+8*time.Second).Share() >= c.share)
+		})
+	}
 }
 
 // Symptom: a few bad endpoints fail a large part of all jobs. Sequence: five of 48
