The daemon's clock counts suspensions and ignores steps

A clock that only goes by the process's steady time would miss suspensions, which it leaves out. Change: a clock by the time since the machine booted, which counts suspensions and is never set; the timer service notices suspensions as pauses by it.

--- /dev/null
+++ b/internal/base/timer/clock_test.go
@@ -0,0 +1,26 @@
+package timer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Symptom: after a step of the time of day a VM refuses every job of another for as long
+// as both live. Cause: stamps are compared with a clock that follows the steps, as times
+// without a reading of the steady clock do.
+func TestBootClockIsSteadyAndComparesByItself(t *testing.T) {
+	is := is.New(t)
+	c, err := NewBoot()
+	is.NoErr(err)
+	a := c.Now()
+	is.True(time.Since(a).Abs() < time.Second) // it starts with the time of day
+	is.Equal(a, a.Round(0))                    // and has no second reading that may differ
+	began := time.Now()
+	time.Sleep(20 * time.Millisecond)
+	took := time.Since(began)
+	is.True((c.Now().Sub(a) - took).Abs() < 10*time.Millisecond)
+	c.began = c.began.Add(-time.Hour) // as if the time of day had been wrong at the start
+	is.True(a.Sub(c.Now()) > 59*time.Minute)
+}
--- a/internal/edge/serve/daemon.go
+++ b/internal/edge/serve/daemon.go
@@ -43,7 +43,11 @@
 
 // New binds the daemon's addresses and puts its parts together.
 func New(ctx context.Context, set Settings, plat Platform, log *slog.Logger) (*Daemon, error) {
-	d := &Daemon{set: set, log: log, meter: meter.New(), timers: timer.New(timer.Wall{})}
+	clock, err := timer.NewBoot()
+	if err != nil {
+		return nil, fmt.Errorf("new daemon: %w", err)
+	}
+	d := &Daemon{set: set, log: log, meter: meter.New(), timers: timer.New(clock)}
 	seeds, err := set.peers()
 	if err != nil {
 		return nil, fmt.Errorf("new daemon: %w", err)
@@ -55,7 +59,7 @@
 	hello := frame.Hello{VM: cfg.VM, Inc: cfg.Inc, Domain: cfg.Domain}
 	receive := func(from frame.Hello, m frame.Msg) { d.node.Receive(from, m) }
 	d.hub = link.New(hello, link.TCP, receive, d.meter.Control, log)
-	d.node = NewNode(ctx, cfg, Parts{Platform: plat, Mesh: d.hub, Timers: d.timers, Clock: timer.Wall{}, Meter: d.meter, Log: log})
+	d.node = NewNode(ctx, cfg, Parts{Platform: plat, Mesh: d.hub, Timers: d.timers, Clock: clock, Meter: d.meter, Log: log})
 	servers := []struct {
 		at netip.AddrPort
 		s  Server
