--- a/internal/edge/serve/perform.go
+++ b/internal/edge/serve/perform.go
@@ -82,7 +82,7 @@
 	o := agent.Start{Name: n, Spec: s.Spec, Until: s.Until, Fence: s.Fence}
 	silent, err := 0, error(nil)
 	for silent < startTries {
-		if err = d.order(s.At, o); !unanswered(err) {
+		if err = d.order(s.At, o); !agent.Unanswered(err) {
 			break
 		}
 		silent++
@@ -92,14 +92,12 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.settle(s, silent, err)
-	d.perform()
-}
-
-// unanswered reports whether an order may have been carried out.
-func unanswered(err error) bool {
+	d.book.Ordered(d.now(), s, silent, err)
 	var refused *agent.RefusedError
-	return err != nil && !errors.As(err, &refused) && !errors.Is(err, agent.ErrUnsent)
+	if errors.As(err, &refused) {
+		d.fenced(refused.Why, s.At, s.Fence)
+	}
+	d.perform()
 }
 
 // order sends a start once.
@@ -109,7 +107,7 @@
 	defer cancel()
 	err := d.parts.Agent.Start(ctx, target(ep), o)
 	switch {
-	case unanswered(err):
+	case agent.Unanswered(err):
 		d.pace.Miss(began)
 	case !errors.Is(err, agent.ErrUnsent):
 		d.pace.Note(d.now(), d.now().Sub(began))
@@ -125,29 +123,6 @@
 	return d.ctx.Err() == nil && s.Run.Stage == lease.Sent
 }
 
-// settle takes in how a start ended; the caller holds the lock. After an order without an
-// answer a refusal says only that the run isn't there now: the order may yet arrive, or
-// the run have ended.
-func (d *Node) settle(s owner.Start, silent int, err error) {
-	now := d.now()
-	var refused *agent.RefusedError
-	switch {
-	case err == nil:
-		d.book.Started(now, s.At, s.Run)
-	case errors.As(err, &refused):
-		if silent > 0 {
-			d.book.Unsure(now, s.At, s.Run, err)
-		} else {
-			d.book.Refused(now, s.At, s.Run, refused.Why)
-		}
-		d.fenced(refused.Why, s.At, s.Fence)
-	case errors.Is(err, agent.ErrUnsent) && silent == 0:
-		d.book.Unsent(now, s.At, s.Run, err)
-	default:
-		d.book.Unsure(now, s.At, s.Run, err)
-	}
-}
-
 // stop orders the end of a run.
 func (d *Node) stop(s owner.Stop) {
 	for range stopTries {
--- a/internal/plat/agent/agent.go
+++ b/internal/plat/agent/agent.go
@@ -74,3 +74,10 @@
 type RefusedError struct{ Why Refusal }
 
 func (e *RefusedError) Error() string { return fmt.Sprintf("endpoint refused: %s", e.Why) }
+
+// Unanswered reports whether an order with this error may have been carried out, or may
+// yet be.
+func Unanswered(err error) bool {
+	var refused *RefusedError
+	return err != nil && !errors.As(err, &refused) && !errors.Is(err, ErrUnsent)
+}
--- a/internal/task/owner/events.go
+++ b/internal/task/owner/events.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"errors"
 	"time"
 
 	"dahliawinch/internal/plat/agent"
@@ -10,6 +11,23 @@
 	"dahliawinch/internal/task/lease"
 )
 
+// Ordered takes in how a start ended: its last error, after a number of sends without an
+// answer. After one of those a refusal says only that the run isn't there now: the order
+// may yet arrive, or the run have ended.
+func (b *Book) Ordered(now time.Time, s Start, silent int, err error) {
+	var refused *agent.RefusedError
+	switch {
+	case err == nil:
+		b.Started(now, s.At, s.Run)
+	case silent > 0 || agent.Unanswered(err):
+		b.Unsure(now, s.At, s.Run, err)
+	case errors.As(err, &refused):
+		b.Refused(now, s.At, s.Run, refused.Why)
+	default:
+		b.Unsent(now, s.At, s.Run, err)
+	}
+}
+
 // Started takes in that an endpoint began a run, or had it already.
 func (b *Book) Started(now time.Time, ep *lease.Endpoint, r *lease.Run) {
 	e := r.Job.(*entry)
