Heartbeats of a large failure domain are as seldom as between domains

Change: from 32 VMs heard in a domain they go each 300 ms, and silence is measured accordingly, as between domains.

--- a/internal/edge/serve/beat.go
+++ b/internal/edge/serve/beat.go
@@ -33,7 +33,7 @@
 	d.beats++
 	var to []netip.AddrPort
 	for i, m := range d.view.Members() {
-		if m.Speaks() && (m.Domain == d.cfg.Domain || (d.beats+int64(i))%view.Far == 0 || b.Leaving) {
+		if m.Speaks() && ((d.beats+int64(i))%view.Far == 0 || b.Leaving || d.view.Often(m)) {
 			to = append(to, m.VM)
 		}
 	}
--- a/internal/mesh/view/view.go
+++ b/internal/mesh/view/view.go
@@ -23,6 +23,10 @@
 	// FarLinks is how many VMs of other failure domains a VM keeps links to by its
 	// own choice; about as many choose it.
 	FarLinks = 6
+	// largeDomain is the size from which a failure domain's heartbeats go as seldom as
+	// between domains: each VM sends one to all others, and with 75 VMs these are most of
+	// all messages.
+	largeDomain = 32
 	// suspectAfter is the silence after which a member gets no more work.
 	suspectAfter = 5 * Period
 	// goneAfter is the silence after which it is gone if a witness agrees.
@@ -52,7 +56,8 @@
 type View struct {
 	self   netip.AddrPort
 	domain string
-	links  int // to other failure domains, by own choice
+	links  int          // to other failure domains, by own choice
+	near   atomic.Int32 // VMs of the own domain that are heard
 	mu     sync.Mutex
 	all    map[netip.AddrPort]*Member
 	order  []netip.AddrPort // of all, sorted; nil when one came or went
@@ -306,10 +311,16 @@
 	return Suspect
 }
 
+// large reports whether heartbeats inside the own domain are as seldom as to others.
+func (v *View) large() bool { return v.near.Load() >= largeDomain }
+
+// Often reports whether a member gets every heartbeat, and not each Far-th.
+func (v *View) Often(m *Member) bool { return m.Domain == v.domain && !v.large() }
+
 // silence of a member, by the measure of the own failure domain.
 func (v *View) silence(now time.Time, m *Member) time.Duration {
 	d := now.Sub(m.Heard)
-	if m.Domain != v.domain {
+	if m.Domain != v.domain || v.large() {
 		d /= Far
 	}
 	return d
@@ -356,8 +367,14 @@
 		slices.SortFunc(v.order, netip.AddrPort.Compare)
 	}
 	all := make([]*Member, 0, len(v.order))
+	near := int32(0)
 	for _, vm := range v.order {
-		all = append(all, v.all[vm])
+		m := v.all[vm]
+		if m.Domain == v.domain && m.State == Alive {
+			near++
+		}
+		all = append(all, m)
 	}
+	v.near.Store(near)
 	v.snap.Store(&all)
 }
--- a/internal/mesh/view/view_test.go
+++ b/internal/mesh/view/view_test.go
@@ -127,3 +127,21 @@
 	v.Learn(time.Unix(1, 0), Named{VM: other, Domain: "x"})
 	is.Equal(v.Find(other).Domain, "x")
 }
+
+// Symptom: with 75 VMs in a failure domain most of all messages are heartbeats. Cause:
+// each VM sends one to all others ten times a second. With seldom ones a silence must last
+// longer to mean something.
+func TestHeartbeatsOfALargeDomainAreSeldom(t *testing.T) {
+	is := is.New(t)
+	v := New(vm(0), "a", began)
+	for i := 1; i < largeDomain; i++ {
+		hear(v, began, i, 1, frame.Beat{})
+	}
+	is.True(v.Often(v.Members()[0]))
+	later := began.Add(suspectAfter + Period)
+	is.Equal(len(v.Doubts(later)), largeDomain-1)
+	hear(v, began, largeDomain, 1, frame.Beat{})
+	is.True(!v.Often(v.Members()[0]))
+	is.Equal(len(v.Doubts(later)), 0)
+	is.Equal(len(v.Doubts(began.Add(Far*suspectAfter))), largeDomain)
+}
