--- a/internal/edge/serve/follow.go
+++ b/internal/edge/serve/follow.go
@@ -45,6 +45,14 @@
 // reads reports whether this VM reads for its failure domain: the first by rendezvous
 // hashing of those that are heard there.
 func (d *Node) reads() bool {
+	first := d.first()
+	if d.reading.Swap(first) != first {
+		d.log.Info("store read for the failure domain", "by", d.cfg.VM, "now", first)
+	}
+	return first
+}
+
+func (d *Node) first() bool {
 	mine := xxhash.Sum64String(d.cfg.Domain + "|" + d.cfg.VM.String())
 	for _, m := range d.view.Members() {
 		if m.State == view.Alive && m.Domain == d.cfg.Domain && xxhash.Sum64String(m.Domain+"|"+m.VM.String()) > mine {
--- a/internal/edge/serve/node.go
+++ b/internal/edge/serve/node.go
@@ -80,6 +80,7 @@
 	eps     *feed.Relay[lease.Info]
 	plan    atomic.Pointer[plan.Plan]
 	leaving atomic.Bool
+	reading atomic.Bool // the store, for the failure domain
 	serial  atomic.Uint64
 	beats   int64 // only the timer's thread uses it
 
--- a/internal/edge/serve/perform.go
+++ b/internal/edge/serve/perform.go
@@ -119,8 +119,11 @@
 func (d *Node) missed(s owner.Start) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.lossy = d.now().Add(lossyFor)
-	return d.ctx.Err() == nil && s.Run.Stage == lease.Sent
+	now := d.now()
+	d.lossy = now.Add(lossyFor)
+	open := d.ctx.Err() == nil && s.Run.Stage == lease.Sent
+	d.log.Info("start unanswered", "job", s.Run.Task.Job, "task", s.Run.Name, "run", s.Run.Num, "endpoint", s.At.ID, "after", now.Sub(s.Run.At).Round(time.Millisecond), "open", open)
+	return open
 }
 
 // stop orders the end of a run.
--- a/internal/tool/grid/load.go
+++ b/internal/tool/grid/load.go
@@ -34,6 +34,8 @@
 const (
 	stretch = 1.6
 	slack   = 60 * time.Millisecond
+	// meanCores is what a task declares in the mean.
+	meanCores = 27
 	// patience of callers, from one to two times this.
 	deadline = 1800 * time.Millisecond
 )
@@ -59,7 +61,8 @@
 	Aim     time.Duration
 	Answer  job.Answer
 	Domain  string
-	Unsound bool // it can't be done
+	Unsound bool    // it can't be done
+	Work    float64 // core-seconds
 }
 
 // InAim reports whether the job was done within its objective.
@@ -92,9 +95,9 @@
 		// Kinds with a raised rate come several at a time in the mean.
 		for range poisson(g.r, rate) {
 			n++
-			j, aim := g.draw(g.r, k, n)
+			j, aim, work := g.draw(g.r, k, n)
 			go func() {
-				g.submit(k, j, aim)
+				g.submit(k, j, aim, work)
 				done <- struct{}{}
 			}()
 		}
@@ -127,29 +130,30 @@
 }
 
 // draw makes a job whose tasks' work differs a little and is declared wrongly.
-func (g *Grid) draw(r *rand.Rand, kind, n int) (batch.Job, time.Duration) {
+func (g *Grid) draw(r *rand.Rand, kind, n int) (j batch.Job, aim time.Duration, all float64) {
 	k := g.Kinds[kind]
 	width := max(1, int(math.Round(lognormal(r, float64(k.Width), 0.4))))
-	cores := min(41, lognormal(r, 27, 0.2))
+	cores := min(41, lognormal(r, meanCores, 0.2))
 	work := lognormal(r, float64(k.Work), 0.4)
 	told := work * lognormal(r, 1, 0.4)
-	j := batch.Job{ID: fmt.Sprintf("%016x", n), Spec: k.Name, Steps: []batch.Step{{
+	j = batch.Job{ID: fmt.Sprintf("%016x", n), Spec: k.Name, Steps: []batch.Step{{
 		Count: width, Need: job.Size{Cores: cores, Memory: 0.0625}, Run: time.Duration(told),
 	}}}
 	longest := 0.0
 	for i := range width {
 		w := lognormal(r, work, 0.15)
 		longest = max(longest, w)
+		all += cores * w / float64(time.Second)
 		g.Judge.Expect(batch.Task{Job: j.ID, Index: i}.String(), fakes.Work{Need: j.Steps[0].Need, Run: time.Duration(w)})
 	}
-	return j, time.Duration(stretch*longest) + slack
+	return j, time.Duration(stretch*longest) + slack, all
 }
 
 // submit plays a caller: the balancer picks a VM of its failure domain, or of any.
-func (g *Grid) submit(kind int, j batch.Job, aim time.Duration) {
+func (g *Grid) submit(kind int, j batch.Job, aim time.Duration, work float64) {
 	began := time.Now()
 	domain := domainName(g.rand(g.Domains))
-	res := Result{Kind: kind, At: began.Sub(g.began), Aim: aim, Domain: domain}
+	res := Result{Kind: kind, At: began.Sub(g.began), Aim: aim, Domain: domain, Work: work}
 	v := g.entry(domain)
 	left := deadline + time.Duration(g.rand(int(deadline)))
 	if v == nil {
@@ -261,6 +265,13 @@
 	return c
 }
 
+// worth of a job: three tenths for each of a kind, the rest by its work.
+func (g *Grid) worth(r *Result) float64 {
+	k := g.Kinds[r.Kind]
+	mean := float64(k.Width) * meanCores * k.Work.Seconds()
+	return k.Worth * min(4, 0.3+0.7*r.Work/mean)
+}
+
 // Earned is the worth of a span's answers over what all in time would be worth; late
 // ones count a fifth.
 func (g *Grid) Earned(from, to time.Duration) float64 {
@@ -270,7 +281,7 @@
 		if r.At < from || r.At >= to {
 			continue
 		}
-		w := g.Kinds[r.Kind].Worth
+		w := g.worth(r)
 		all += w
 		switch {
 		case r.InAim():
