A job that reached a paused owner too late goes to another

Cause: an owner that wakes refuses jobs that came over 0.4 s after they were sent; that refusal ended the job, though nothing had begun and others had room. Change: such a refusal is followed by the next owner, as one for want of room.

--- a/internal/edge/serve/order_test.go
+++ b/internal/edge/serve/order_test.go
@@ -13,6 +13,7 @@
 
 	"dahliawinch/internal/base/meter"
 	"dahliawinch/internal/base/timer"
+	"dahliawinch/internal/mesh/frame"
 	"dahliawinch/internal/plat/agent"
 	"dahliawinch/internal/task/batch"
 	"dahliawinch/internal/task/job"
@@ -101,3 +102,37 @@
 	}
 	is.Equal(n.pace.Timeout(), orderLeast)
 }
+
+// casts notes what goes to other VMs.
+type casts struct{ to []netip.AddrPort }
+
+func (c *casts) Cast(to netip.AddrPort, _ frame.Msg) error {
+	c.to = append(c.to, to)
+	return nil
+}
+func (c *casts) Spread([]netip.AddrPort, frame.Msg) {}
+
+// Symptom: a caller is refused though other owners are idle. Sequence: its job reaches an
+// owner that had been paused, 0.5 s after it was sent, and is not begun. Cause: that owner's
+// refusal is taken for everyone's.
+func TestJobThatCameTooLateGoesToAnotherOwner(t *testing.T) {
+	is := is.New(t)
+	at := func(n byte) netip.AddrPort { return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, n}), 1) }
+	mesh := &casts{}
+	n := NewNode(t.Context(), Config{VM: at(1), Domain: "a"}, Parts{
+		Mesh: mesh, Timers: timer.New(timer.Wall{}), Clock: timer.Wall{}, Meter: meter.New(), Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
+	})
+	now := time.Now()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for i := byte(2); i < 4; i++ {
+		n.hear(now, at(i), owner.Load{Free: 64, Total: 64}, true, repeatEvery)
+	}
+	c := &call{n: 7, job: &batch.Job{ID: "j", Steps: []batch.Step{{Count: 1}}}, came: now, due: now.Add(time.Minute), done: make(chan struct{})}
+	n.calls[7] = c
+	n.send(now, c)
+	is.Equal(len(mesh.to), 1)
+	n.resolve(now, mesh.to[0], 7, *job.Refuse(job.Silent, 0, "it came 500ms after it was sent"))
+	is.Equal(len(mesh.to), 2)
+	is.True(mesh.to[0] != mesh.to[1] && !c.ended)
+}
--- a/internal/edge/serve/submit.go
+++ b/internal/edge/serve/submit.go
@@ -183,9 +183,10 @@
 	d.end(c, a)
 }
 
-// again reports whether another owner may do what one refused.
+// again reports whether another owner may do what one refused: it had no room, it gave its
+// endpoints up, or it had been paused and got the job too late to begin it.
 func again(r job.Reason) bool {
-	return r == job.Overload || r == job.NoEndpoint || r == job.Leaving
+	return r == job.Overload || r == job.NoEndpoint || r == job.Leaving || r == job.Silent
 }
 
 // end fixes a call's answer; the caller holds the lock.
--- a/internal/tool/model/world.go
+++ b/internal/tool/model/world.go
@@ -179,21 +179,11 @@
 	}
 }
 
-// tick is what a VM does in a step: it submits, renews, looks at deadlines, and carries
-// out what follows.
+// tick is what a VM does in a step: it renews, looks at deadlines, and carries out what
+// follows.
 func (v *vm) tick() {
-	first := v.w.vms[0]
-	if v.n == 1 && !first.stands() && !v.asked {
-		return
-	}
 	if v.n == 1 {
-		if first.stands() && first.quiet() == silent {
-			v.w.note("VM 1 takes over")
-			v.own()
-		}
-		if first.stands() && first.quiet() == again && !v.asked {
-			v.submit()
-		}
+		v.follow(v.w.vms[0])
 	}
 	if v.stands() {
 		return
@@ -207,14 +197,33 @@
 	v.book.Tick(v.w.now)
 	v.perform()
 	if v.n == 0 && v.asked && v.answer == nil && v.until.IsZero() {
-		switch v.w.pick(3) {
-		case 1:
-			v.w.note("VM 0 pauses")
-			v.until = v.w.now.Add(pause)
-		case 2:
-			v.w.note("VM 0 dies")
-			v.dead, v.until = true, v.w.now
-		}
+		v.stumble()
+	}
+}
+
+// follow takes over from a VM that stands still, and gets its caller's job.
+func (v *vm) follow(first *vm) {
+	if !first.stands() {
+		return
+	}
+	if first.quiet() == silent {
+		v.w.note("VM %d takes over", v.n)
+		v.own()
+	}
+	if first.quiet() == again && !v.asked {
+		v.submit()
+	}
+}
+
+// stumble lets a VM pause or die.
+func (v *vm) stumble() {
+	switch v.w.pick(3) {
+	case 1:
+		v.w.note("VM %d pauses", v.n)
+		v.until = v.w.now.Add(pause)
+	case 2:
+		v.w.note("VM %d dies", v.n)
+		v.dead, v.until = true, v.w.now
 	}
 }
 
