After a start a job waits for owners only while some are missing

Change: a VM counts the groups without owner and the owners that have not told their load; when none is missing the refusal is the answer.

--- a/internal/edge/serve/node.go
+++ b/internal/edge/serve/node.go
@@ -100,6 +100,8 @@
 	// loadPause is the time from one telling of the load to the next.
 	loadPause time.Duration
 	listed    bool
+	owners    int                     // VMs that own endpoints, this one included
+	unowned   bool                    // a group has no owner
 	reached   map[claim.Group]reached // groups of other domains
 	probing   map[claim.Group]bool
 	blind     map[claim.Group]time.Time // when an owned group was last seen to answer
@@ -116,7 +118,7 @@
 		cfg: cfg, parts: parts, log: parts.Log, began: now, calls: map[uint64]*call{}, byID: map[string]*call{},
 		roster: newRoster(), unsure: map[string]time.Time{}, since: map[netip.AddrPort]time.Time{},
 		wakes: map[string]chan struct{}{}, table: route.New(), reached: map[claim.Group]reached{}, probing: map[claim.Group]bool{}, blind: map[claim.Group]time.Time{},
-		pace: pace.New(orderLeast, orderMost),
+		pace: pace.New(orderLeast, orderMost), unowned: true,
 		view: view.New(cfg.VM, cfg.Domain, now), claims: claim.New(cfg.VM, cfg.Domain, cfg.Power, now),
 		book: owner.New(owner.Config{Limits: cfg.Limits, Far: cfg.Far, Log: parts.Log}),
 	}
--- a/internal/edge/serve/own.go
+++ b/internal/edge/serve/own.go
@@ -99,12 +99,32 @@
 			d.letGo(now, c.Group, c.Why)
 		}
 	}
+	d.count(peers)
 	held := held(peers)
 	for _, g := range d.claims.Groups() {
 		d.tend(now, g, held)
 	}
 }
 
+// count notes how many VMs own endpoints, and whether a group has no owner.
+func (d *Node) count(peers []claim.Peer) {
+	owned := claim.Owned(peers)
+	d.unowned, d.owners = false, 0
+	for g := range d.roster.groups {
+		if !owned[g] && d.claims.Owns(g) == nil {
+			d.unowned = true
+		}
+	}
+	if len(d.claims.Groups()) > 0 {
+		d.owners++
+	}
+	for _, p := range peers {
+		if p.Live && !p.Silent && len(p.Claims) > 0 {
+			d.owners++
+		}
+	}
+}
+
 func (d *Node) peers(now time.Time) []claim.Peer {
 	all := d.view.Members()
 	ps := make([]claim.Peer, 0, len(all))
--- a/internal/edge/serve/submit.go
+++ b/internal/edge/serve/submit.go
@@ -25,8 +25,8 @@
 	// refused: after a loss of all VMs the first claims follow the first callers by
 	// about as much, and most jobs can still be answered in time to be of use.
 	ownerWait = 600 * time.Millisecond
-	// joinFor is how long after its start a VM may not know all owners yet, so that the
-	// refusal of those it knows says little.
+	// joinFor is how long after its start a VM may not know all owners yet. While some are
+	// missing the refusal of those it knows says little.
 	joinFor = 1500 * time.Millisecond
 )
 
@@ -136,7 +136,7 @@
 		return
 	}
 	a := c.a
-	if (len(c.tried) == 0 || now.Sub(d.began) < joinFor) && now.Sub(c.came) < ownerWait {
+	if (len(c.tried) == 0 || d.missing(now)) && now.Sub(c.came) < ownerWait {
 		c.tried = c.tried[:0]
 		d.parked = append(d.parked, c)
 		return
@@ -148,6 +148,13 @@
 	d.end(c, a)
 }
 
+// missing reports whether owners may yet come up: this VM has just started, and some groups
+// have no owner, or an owner has not told its load yet. Once all have, a job that they
+// refuse must not wait for more; the caller holds the lock.
+func (d *Node) missing(now time.Time) bool {
+	return now.Sub(d.began) < joinFor && (d.unowned || d.table.Known(now) < d.owners)
+}
+
 // unpark sends the calls that waited for an owner; the caller holds the lock.
 func (d *Node) unpark(now time.Time) {
 	if len(d.parked) == 0 {
