A healed partition takes nothing away while links come back

Change: dials end after 0.5 s and are repeated after 0.45 s at most; a group of another domain is claimed when it was reached for longer than links need to come back (0.95 s) and a heartbeat to arrive.

--- a/internal/edge/serve/own.go
+++ b/internal/edge/serve/own.go
@@ -6,6 +6,7 @@
 
 	"dahliawinch/internal/mesh/claim"
 	"dahliawinch/internal/mesh/frame"
+	"dahliawinch/internal/mesh/link"
 	"dahliawinch/internal/mesh/view"
 	"dahliawinch/internal/plat/agent"
 	"dahliawinch/internal/task/lease"
@@ -27,8 +28,9 @@
 	// reachFor is how long a reached endpoint speaks for its group.
 	reachFor = time.Second
 	// reachLong is for how long a group must have been reached to be claimed: after a
-	// partition its endpoints are reached before its owner is heard.
-	reachLong = 500 * time.Millisecond
+	// partition its endpoints are reached before its owner is heard, which takes a new link
+	// and a heartbeat.
+	reachLong = link.Heal + (view.Far+1)*view.Period
 	// reachWait bounds a look whether an endpoint can be reached.
 	reachWait = 300 * time.Millisecond
 	// blindFor is how long an owner of another domain's group keeps it that reaches none
--- a/internal/mesh/link/hub.go
+++ b/internal/mesh/link/hub.go
@@ -20,7 +20,9 @@
 
 // Times of the links.
 const (
-	dialWait  = time.Second
+	// dialWait is short, since a dial that began while the path was cut is not answered
+	// after it heals: the first packet is sent again only a second later.
+	dialWait  = 500 * time.Millisecond
 	helloWait = time.Second
 	writeWait = time.Second
 	// ackEvery is how often a receiver says how far it has read.
@@ -35,9 +37,13 @@
 	// redial is the pause after a lost link; it doubles up to redialTop, and half of
 	// it is random, so that a healed partition is not met by all VMs at once.
 	redial    = 100 * time.Millisecond
-	redialTop = 500 * time.Millisecond
+	redialTop = 300 * time.Millisecond
 )
 
+// Heal is how long after a path has healed a link over it is up at the latest, if both VMs
+// live and have time.
+const Heal = dialWait + redialTop*3/2
+
 // mostKept bounds the bytes kept for one peer until they are acknowledged.
 const mostKept = 2 * frame.Most
 
@@ -49,7 +55,7 @@
 
 // TCP dials plainly.
 func TCP(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
-	d := net.Dialer{Timeout: dialWait}
+	var d net.Dialer
 	c, err := d.DialContext(ctx, "tcp", to.String())
 	if err != nil {
 		return nil, fmt.Errorf("dial peer: %w", err)
--- a/internal/mesh/link/sender.go
+++ b/internal/mesh/link/sender.go
@@ -126,7 +126,9 @@
 }
 
 func (s *sender) connect(ctx context.Context) error {
-	c, err := s.h.dial(ctx, s.to)
+	dctx, cancel := context.WithTimeout(ctx, dialWait)
+	c, err := s.h.dial(dctx, s.to)
+	cancel()
 	if err != nil {
 		return err
 	}
--- a/internal/tool/grid/fault_test.go
+++ b/internal/tool/grid/fault_test.go
@@ -93,7 +93,7 @@
 // Symptom: when a partition heals, jobs fail on both sides. Sequence: each side has
 // claimed the other's endpoints, which it could not reach; with the heal its orders arrive
 // there, with a higher fence than that of the owner that served all the while. Cause: a
-// VM claims what it can't reach.
+// VM claims what it can't reach, or what it reaches before links to its owner can be up.
 func TestHealedPartitionTakesNothingAway(t *testing.T) {
 	is := is.New(t)
 	const span = 5 * time.Second
--- a/internal/tool/grid/grid.go
+++ b/internal/tool/grid/grid.go
@@ -15,6 +15,7 @@
 	"dahliawinch/internal/base/timer"
 	"dahliawinch/internal/conf/plan"
 	"dahliawinch/internal/edge/serve"
+	meshlink "dahliawinch/internal/mesh/link"
 	"dahliawinch/internal/plat/fakes"
 	"dahliawinch/internal/task/job"
 	"dahliawinch/internal/task/lease"
@@ -74,7 +75,8 @@
 	mu        sync.Mutex
 	vms       []*VM
 	cuts      map[[2]string]bool
-	away      map[string]bool // failure domains that don't reach the store
+	heals     map[[2]string]time.Time // when links over a healed path are up
+	away      map[string]bool         // failure domains that don't reach the store
 	endpoints map[string]*fakes.Leased
 	order     []string
 	results   []Result
@@ -87,7 +89,7 @@
 	g := &Grid{
 		Setup: set, Judge: NewJudge(), r: rand.New(rand.NewPCG(set.Seed, 99)), began: time.Now(),
 		Plans: fakes.NewTopic[plan.Plan](), Roster: fakes.NewTopic[lease.Info](), Named: fakes.NewTopic[serve.VM](),
-		cuts: map[[2]string]bool{}, away: map[string]bool{}, endpoints: map[string]*fakes.Leased{},
+		cuts: map[[2]string]bool{}, heals: map[[2]string]time.Time{}, away: map[string]bool{}, endpoints: map[string]*fakes.Leased{},
 	}
 	g.ctx, g.end = context.WithCancel(context.Background())
 	g.build()
@@ -261,7 +263,11 @@
 func (g *Grid) Cut(from, to string, cut bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.cuts[[2]string{from, to}] = cut
+	way := [2]string{from, to}
+	if g.cuts[way] && !cut {
+		g.heals[way] = time.Now().Add(meshlink.Heal)
+	}
+	g.cuts[way] = cut
 }
 
 // Isolate cuts a failure domain off from all others and the store, or heals the cut.
@@ -288,6 +294,15 @@
 	return g.cuts[[2]string{from, to}]
 }
 
+// linkless reports whether no message passes: the path is cut, or the links over it are
+// not up again.
+func (g *Grid) linkless(from, to string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	way := [2]string{from, to}
+	return g.cuts[way] || time.Now().Before(g.heals[way])
+}
+
 func (g *Grid) storeless(domain string) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/tool/grid/net.go
+++ b/internal/tool/grid/net.go
@@ -114,13 +114,13 @@
 		select {
 		case p := <-l.queue:
 			time.Sleep(time.Until(p.at))
-			for l.g.isCut(l.from.Domain, l.to.Domain) && !l.to.dead.Load() && l.g.ctx.Err() == nil {
+			for l.g.linkless(l.from.Domain, l.to.Domain) && !l.to.dead.Load() && l.g.ctx.Err() == nil {
 				if !frame.Reliable(p.m) {
 					break
 				}
 				time.Sleep(healed)
 			}
-			if l.to.dead.Load() || l.g.isCut(l.from.Domain, l.to.Domain) {
+			if l.to.dead.Load() || l.g.linkless(l.from.Domain, l.to.Domain) {
 				continue
 			}
 			l.to.clock.gate() // a paused VM reads later
