--- a/internal/mesh/claim/claim.go
+++ b/internal/mesh/claim/claim.go
@@ -136,6 +136,11 @@
 	return d
 }
 
+func (b *Book) shunned(now time.Time, g Seat) bool {
+	r := b.shun[g.Group]
+	return r != nil && now.Before(r.until)
+}
+
 // Change is a decision about a group.
 type Change struct {
 	Group  Group
@@ -184,10 +189,7 @@
 			}
 			continue
 		}
-		if r := b.shun[g.Group]; r != nil && now.Before(r.until) {
-			continue
-		}
-		if leaving || on.kept || !b.settled(now, g, peers) || b.best(g, peers, on.giving) != b.self {
+		if leaving || on.kept || b.shunned(now, g) || !b.settled(now, g, peers) || b.best(g, peers, on.giving) != b.self {
 			continue
 		}
 		if fence == 0 {
