Stand-in networks share one lane that grows with what is on its way

A heap profile showed 98 % in the links of the stand-in network: a channel of 100,000 places, 4 MB, for each of them. Change: a lane whose room grows, in one place for both stand-ins (they were alike).

--- a/internal/tool/grid/net.go
+++ b/internal/tool/grid/net.go
@@ -87,21 +87,13 @@
 	errDead = errors.New("the VM is dead")
 )
 
-// link carries messages from one VM to one incarnation of another, in order.
+// link carries the messages of one VM to one incarnation of another.
 type link struct {
 	g        *Grid
 	from, to *VM
-	queue    chan parcel
+	lane     *fakes.Lane
 }
 
-type parcel struct {
-	at time.Time
-	m  frame.Msg
-}
-
-// linkRoom is how many messages may be on their way; more count as no link.
-const linkRoom = 20_000
-
 // deaf is how long a peer may stand still before a link to it counts as lost.
 const deaf = 500 * time.Millisecond
 
@@ -110,25 +102,19 @@
 
 func (l *link) run() {
 	defer l.g.wg.Done()
-	for {
-		select {
-		case p := <-l.queue:
-			time.Sleep(time.Until(p.at))
-			for l.g.linkless(l.from.Domain, l.to.Domain) && !l.to.dead.Load() && l.g.ctx.Err() == nil {
-				if !frame.Reliable(p.m) {
-					break
-				}
-				time.Sleep(healed)
-			}
-			if l.to.dead.Load() || l.g.linkless(l.from.Domain, l.to.Domain) {
-				continue
+	l.lane.Run(l.g.ctx, func(m frame.Msg) {
+		for l.g.linkless(l.from.Domain, l.to.Domain) && !l.to.dead.Load() && l.g.ctx.Err() == nil {
+			if !frame.Reliable(m) {
+				break
 			}
-			l.to.clock.gate() // a paused VM reads later
-			l.to.Node.Receive(frame.Hello{VM: l.from.Mesh, Inc: l.from.Inc, Domain: l.from.Domain}, p.m)
-		case <-l.g.ctx.Done():
+			time.Sleep(healed)
+		}
+		if l.to.dead.Load() || l.g.linkless(l.from.Domain, l.to.Domain) {
 			return
 		}
-	}
+		l.to.clock.gate() // a paused VM reads later
+		l.to.Node.Receive(frame.Hello{VM: l.from.Mesh, Inc: l.from.Inc, Domain: l.from.Domain}, m)
+	})
 }
 
 // post is the mesh of one VM.
@@ -152,18 +138,16 @@
 	p.mu.Lock()
 	l := p.links[vm]
 	if l == nil {
-		l = &link{g: p.g, from: p.from, to: vm, queue: make(chan parcel, linkRoom)}
+		l = &link{g: p.g, from: p.from, to: vm, lane: fakes.NewLane()}
 		p.links[vm] = l
 		p.g.wg.Add(1)
 		go l.run()
 	}
 	p.mu.Unlock()
-	select {
-	case l.queue <- parcel{time.Now().Add(delay(p.from.Domain, vm.Domain)), m}:
-		return nil
-	default:
+	if !l.lane.Put(delay(p.from.Domain, vm.Domain), m) {
 		return errCut
 	}
+	return nil
 }
 
 // Spread implements serve.Mesh.
--- a/internal/tool/scene/net.go
+++ b/internal/tool/scene/net.go
@@ -154,40 +154,26 @@
 	return r.s.Stream.Read(ctx, from, min(wait, time.Second))
 }
 
-// link carries the messages of one VM to one incarnation of another, in order.
+// link carries the messages of one VM to one incarnation of another.
 type link struct {
-	s     *Scene
-	from  *VM
-	to    *VM
-	queue chan parcel
-}
-
-type parcel struct {
-	at time.Time
-	m  frame.Msg
+	s    *Scene
+	from *VM
+	to   *VM
+	lane *fakes.Lane
 }
 
-// linkRoom is how many messages may be on their way; more count as no link.
-const linkRoom = 100_000
-
 func (l *link) run() {
 	defer l.s.wg.Done()
-	for {
-		select {
-		case p := <-l.queue:
-			time.Sleep(time.Until(p.at))
-			for l.s.cut(l.from.Domain, l.to.Domain) && !l.to.dead.Load() {
-				time.Sleep(10 * time.Millisecond) // kept and sent again after the cut
-			}
-			if l.to.dead.Load() {
-				continue
-			}
-			l.to.clock.Now() // a paused VM reads later
-			l.to.Node.Receive(l.from.hello(), p.m)
-		case <-l.s.ctx.Done():
+	l.lane.Run(l.s.ctx, func(m frame.Msg) {
+		for l.s.cut(l.from.Domain, l.to.Domain) && !l.to.dead.Load() {
+			time.Sleep(10 * time.Millisecond) // kept and sent again after the cut
+		}
+		if l.to.dead.Load() {
 			return
 		}
-	}
+		l.to.clock.Now() // a paused VM reads later
+		l.to.Node.Receive(l.from.hello(), m)
+	})
 }
 
 // post is the mesh of one VM.
@@ -207,7 +193,7 @@
 	p.mu.Lock()
 	l := p.links[vm]
 	if l == nil {
-		l = &link{s: p.s, from: p.from, to: vm, queue: make(chan parcel, linkRoom)}
+		l = &link{s: p.s, from: p.from, to: vm, lane: fakes.NewLane()}
 		p.links[vm] = l
 		p.s.wg.Add(1)
 		go l.run()
@@ -218,12 +204,10 @@
 		d = within
 	}
 	p.from.sent.Add(1)
-	select {
-	case l.queue <- parcel{time.Now().Add(d), m}:
-		return nil
-	default:
+	if !l.lane.Put(d, m) {
 		return flow.ErrNoLink
 	}
+	return nil
 }
 
 // Reach implements flow.Mesh.
