--- a/internal/mesh/view/view.go
+++ b/internal/mesh/view/view.go
@@ -356,7 +356,7 @@
 // heartbeat: of those there come a thousand a second in a large deployment. The caller
 // holds the lock.
 func (v *View) snapshot() {
-	if !v.stale.Swap(false) {
+	if !v.stale.Load() {
 		return
 	}
 	if len(v.order) != len(v.all) {
@@ -377,4 +377,5 @@
 	}
 	v.near.Store(near)
 	v.snap.Store(&all)
+	v.stale.Store(false) // last: whoever sees it takes no lock
 }
--- a/internal/mesh/view/view_test.go
+++ b/internal/mesh/view/view_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"sync"
 	"testing"
 	"time"
 
@@ -145,3 +146,25 @@
 	is.Equal(len(v.Doubts(later)), 0)
 	is.Equal(len(v.Doubts(began.Add(Far*suspectAfter))), largeDomain)
 }
+
+// Symptom: a VM's process ends with a fault as it starts. Sequence: two of its threads
+// look at the members for the first time in the same instant. Cause: the first marks the
+// snapshot as fresh before it is there, and the second reads none.
+func TestMembersAreThereForAllWhoLookFirst(t *testing.T) {
+	const threads = 8
+	for range 3000 {
+		v := New(vm(0), "a", began)
+		var all sync.WaitGroup
+		start := make(chan struct{})
+		for range threads {
+			all.Go(func() {
+				<-start
+				if len(v.Members()) != 0 {
+					t.Error("members of nowhere")
+				}
+			})
+		}
+		close(start)
+		all.Wait()
+	}
+}
