Late jobs are refused while more comes than can be done; trials with tables and plots

Change: while the work that comes exceeds the pool, a job that will be late is refused at once, and one that waits as soon as its objective is lost; it has not run, and hears when to come back. Below that, late jobs use what stays idle, as before. The burst test with its raised bounds, the new one of steady overload and that of a waiting job fail on the code before; that of the calm and the crowded pool was written with it. New: grid trials write JSON, Markdown and SVG (gonum/plot), response times from HDR histograms, with the bound beside what is earned.

--- a/internal/task/owner/admit.go
+++ b/internal/task/owner/admit.go
@@ -185,3 +185,12 @@
 	ran := now.Sub(r.At)
 	return max(d-ran, d/5)
 }
+
+// crowded reports whether more work comes than the pool can do. Then a job that will miss
+// its objective is not begun: what is late is worth little, and the places that it holds
+// make others late that would be in time. It is refused as soon as that is known.
+func (b *Book) crowded(now time.Time) bool { return b.pressure(now, ranks) >= full }
+
+// full is the part of the pool from which on late jobs are refused: 0.709 earned in a burst
+// of 2.5 times, 0.705 at 0.85, 0.692 at 1.2, and 0.661 if they wait for what stays idle.
+const full = 1.0
--- a/internal/task/owner/book.go
+++ b/internal/task/owner/book.go
@@ -149,6 +149,10 @@
 		e.late = true
 		wait = b.forecast(now, e)
 	}
+	if e.late && b.crowded(now) {
+		b.refuse(key, j, job.Overload, wait, "it would wait "+wait.Round(time.Millisecond).String()+", too long while more comes than can be done")
+		return
+	}
 	if late := wait - b.lastChance(e, now); e.late && late > 0 {
 		b.refuse(key, j, job.Overload, late, "it would wait "+wait.Round(time.Millisecond).String()+", too long by "+late.Round(time.Millisecond).String())
 		return
@@ -325,6 +329,8 @@
 		b.finish(now, e, job.Answer{Outcome: job.Refused, Reason: job.NoEndpoint, Detail: "its endpoints were lost"})
 	case b.lastChance(e, now) < 0:
 		b.finish(now, e, job.Answer{Outcome: job.Refused, Reason: job.Overload, Retry: b.patience(e, e.came), Detail: "no room came free in time"})
+	case (e.late || b.patience(e, now) < 0) && b.crowded(now):
+		b.finish(now, e, job.Answer{Outcome: job.Refused, Reason: job.Overload, Retry: b.patience(e, e.came), Detail: "no room came free in time for its objective"})
 	case !e.late && b.patience(e, now) < 0:
 		b.queue = slices.DeleteFunc(b.queue, func(x *entry) bool { return x == e })
 		e.late = true
--- a/internal/task/owner/owner_test.go
+++ b/internal/task/owner/owner_test.go
@@ -261,3 +261,66 @@
 	b.Lose(t0.Add(time.Second), next[0].At.ID, true, "it was restarted")
 	is.Equal(b.Jobs(), 1) // and waits for an endpoint
 }
+
+// Symptom: in a burst most jobs are late, though the endpoints could do most of them in
+// time. Sequence: more work comes than the endpoints can do; a job that will be late waits
+// behind the others, takes what is free for a moment, and the next in time waits for it.
+// Cause: late jobs are begun whenever there is room. While less comes than can be done they
+// use what would stay idle.
+func TestLateJobIsRefusedOnlyWhileMoreComesThanCanBeDone(t *testing.T) {
+	is := is.New(t)
+	late := of("l1", 1, tasks(1, 27, 100*time.Millisecond))
+	calm := bench(64)
+	for _, id := range []string{"a1", "a2"} { // the one endpoint is full for 0.3 s
+		calm.Submit(t0, key(uint64(id[1])), of(id, 0, tasks(1, 27, 300*time.Millisecond)))
+	}
+	then := t0.Add(195 * time.Millisecond)
+	calm.Submit(then, key(9), late)
+	is.Equal(len(calm.Take().Tells), 0) // it waits
+	crowd := bench(64)
+	for _, id := range []string{"a1", "a2"} {
+		crowd.Submit(t0, key(uint64(id[1])), of(id, 0, tasks(1, 27, 300*time.Millisecond)))
+	}
+	for _, id := range []string{"a3", "a4", "a5", "a6"} {
+		crowd.Submit(then, key(uint64(id[1])), of(id, 0, tasks(1, 27, 300*time.Millisecond)))
+	}
+	crowd.Take()
+	crowd.Submit(then, key(9), late)
+	told := crowd.Take().Tells
+	is.Equal(len(told), 1)
+	is.Equal(told[0].Answer.Outcome, job.Refused)
+	is.True(told[0].Answer.Retry > 0)
+}
+
+// Symptom: a caller hears that its job was given up only when most of its time is over.
+// Sequence: a job is taken, waits, and can't be in time any more while the load is over
+// what can be done. Cause: it is held for as long as an answer is of any use.
+func TestWaitingJobIsRefusedWhenItsObjectiveIsLost(t *testing.T) {
+	is := is.New(t)
+	b := bench(64)
+	for _, id := range []string{"a1", "a2"} {
+		b.Submit(t0, key(uint64(id[1])), of(id, 0, tasks(1, 27, 300*time.Millisecond)))
+	}
+	first := b.Take().Starts
+	begin(b, t0, first)
+	then := t0.Add(200 * time.Millisecond)
+	b.Submit(then, key(9), of("w1", 1, tasks(1, 27, 600*time.Millisecond))) // it can wait 0.34 s
+	is.Equal(len(b.Take().Tells), 0)
+	for n := range uint64(8) { // urgent ones come meanwhile
+		b.Submit(then.Add(50*time.Millisecond), key(20+n), of("u"+string(rune('a'+n)), 0, tasks(1, 27, 300*time.Millisecond)))
+	}
+	b.Take()
+	refused := func() (n int) {
+		for _, x := range b.Take().Tells {
+			if x.Key == key(9) {
+				is.Equal(x.Answer.Outcome, job.Refused)
+				n++
+			}
+		}
+		return n
+	}
+	b.Tick(then.Add(290 * time.Millisecond))
+	is.Equal(refused(), 0)
+	b.Tick(then.Add(360 * time.Millisecond))
+	is.Equal(refused(), 1)
+}
--- a/internal/tool/grid/load.go
+++ b/internal/tool/grid/load.go
@@ -7,6 +7,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/HdrHistogram/hdrhistogram-go"
+
 	"dahliawinch/internal/conf/plan"
 	"dahliawinch/internal/edge/serve"
 	"dahliawinch/internal/plat/fakes"
@@ -36,8 +38,9 @@
 	slack   = 60 * time.Millisecond
 	// meanCores is what a task declares in the mean.
 	meanCores = 27
-	// patience of callers, from one to two times this.
-	deadline = 1800 * time.Millisecond
+	// patience is how long callers wait beyond the time up to which an answer is of use, as
+	// the users' do.
+	patience = 1500 * time.Millisecond
 )
 
 // Three are the users' kinds of job.
@@ -155,7 +158,7 @@
 	domain := domainName(g.rand(g.Domains))
 	res := Result{Kind: kind, At: began.Sub(g.began), Aim: aim, Domain: domain, Work: work}
 	v := g.entry(domain)
-	left := deadline + time.Duration(g.rand(int(deadline)))
+	left := patience + useful*aim
 	if v == nil {
 		res.Answer = job.Answer{Outcome: job.Unknown, Reason: "no VM"}
 	} else {
@@ -292,3 +295,42 @@
 	}
 	return got / max(all, 1e-9)
 }
+
+// Lost is the part of a span's worth that was not earned, by what became of it: "late", or
+// the reason of the answer.
+func (g *Grid) Lost(from, to time.Duration) map[string]float64 {
+	lost, all := map[string]float64{}, 0.0
+	for i := range g.results {
+		r := &g.results[i]
+		if r.At < from || r.At >= to {
+			continue
+		}
+		w := g.worth(r)
+		all += w
+		switch {
+		case r.InAim():
+		case r.Late():
+			lost["late"] += w * 4 / 5
+		case r.Answer.Outcome == job.Done:
+			lost["useless"] += w
+		default:
+			lost[string(r.Answer.Reason)] += w
+		}
+	}
+	for k := range lost {
+		lost[k] /= all
+	}
+	return lost
+}
+
+// Times are the milliseconds that a span's done jobs of a kind took.
+func (g *Grid) Times(kind int, from, to time.Duration) *hdrhistogram.Histogram {
+	h := hdrhistogram.New(1, int64(time.Minute/time.Millisecond), 3)
+	for i := range g.results {
+		if r := &g.results[i]; r.Kind == kind && r.At >= from && r.At < to && r.Answer.Outcome == job.Done {
+			// What a minute's histogram can't hold no caller waits for.
+			_ = h.RecordValue(r.Took.Milliseconds())
+		}
+	}
+	return h
+}
--- a/internal/tool/grid/load_test.go
+++ b/internal/tool/grid/load_test.go
@@ -59,14 +59,34 @@
 		packed += g.Bound(from, to+afterwards, 0.84) / plays
 	}
 	t.Logf("urgent %.3f, all %.3f, earned %.3f, after it %.3f; with that %.3f of at most %.3f, %.3f as tasks fit", first.Share(), all.Share(), earned, after.Share(), whole, bound, packed)
-	is.True(first.Share() >= 0.73)
-	is.True(all.Share() >= 0.65)
-	is.True(earned >= 0.62)                                 // the endpoints can do 0.67 of the work that comes
-	is.True(whole >= 0.75*packed)                           // 0.78 measured, by one that doesn't know what comes
+	is.True(first.Share() >= 0.75)
+	is.True(all.Share() >= 0.70)
+	is.True(earned >= 0.67)                                 // the endpoints can do 0.67 of the work that comes
+	is.True(whole >= 0.79*packed)                           // 0.83 measured, by one that doesn't know what comes
 	is.True(float64(all.Failed) <= 0.01*float64(all.Asked)) // held until it was of no use
 	is.True(after.Share() >= 0.97)
 }
 
+// Symptom: with a fifth more work than the endpoints can do, a quarter of its worth is lost.
+// Sequence: this load for twelve seconds. Cause: jobs that will be late are begun in what
+// is free for a moment, and hold places for up to a second that jobs in time then miss. If
+// they are refused while more comes than can be done, 0.82 instead of 0.77 is earned.
+func TestLateJobsDisplaceNoneInTime(t *testing.T) {
+	is := is.New(t)
+	earned := 0.0
+	var all Count
+	for seed := range uint64(plays) {
+		set := Users(240)
+		set.Seed = seed + 1
+		g := play(t, set)
+		earned += g.Earned(set.Warm, set.Warm+set.Span) / plays
+		all.Add(g.Counts(-1, set.Warm, set.Warm+set.Span))
+	}
+	t.Logf("earned %.3f, %+v", earned, all)
+	is.True(earned >= 0.80)
+	is.True(float64(all.Late) <= 0.06*float64(all.Asked))
+}
+
 // Symptom: urgent jobs wait behind routine ones. Sequence: the plain kind alone comes at
 // 1.8 times its rate. Cause: one order for all ranks.
 func TestBurstOfPlainWorkLeavesUrgentWorkAlone(t *testing.T) {
--- /dev/null
+++ b/internal/tool/grid/trial_test.go
@@ -0,0 +1,194 @@
+package grid
+
+import (
+	"flag"
+	"maps"
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"dahliawinch/internal/tool/trial"
+)
+
+var (
+	out    = flag.String("out", "", "folder for the reports of the trials, which are else not played")
+	trials = flag.Uint64("trials", 3, "plays of each case, with the seeds from 1")
+)
+
+// full is how many of the users' jobs a second fill all endpoints.
+const full = 200
+
+// trialSeeds are those of each case.
+func trialSeeds() (all []uint64) {
+	for s := range *trials {
+		all = append(all, s+1)
+	}
+	return all
+}
+
+// each plays a setup with every seed.
+func each(t *testing.T, set Setup, see func(g *Grid, part float64)) {
+	t.Helper()
+	for _, s := range trialSeeds() {
+		set.Seed = s
+		see(play(t, set), 1/float64(*trials))
+	}
+}
+
+func written(t *testing.T, r *trial.Report) {
+	t.Helper()
+	if err := r.Write(*out); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Served, bound and response times against the load.
+func TestTrialsOfLoad(t *testing.T) {
+	if *out == "" {
+		t.Skip("played with -out")
+	}
+	ended := trial.Table{Title: "How jobs ended", Case: "load"}
+	for _, name := range []string{"earned", "bound", "in aim", "late", "refused", "failed"} {
+		ended.Columns = append(ended.Columns, trial.Column{Name: name, Decimals: 3})
+	}
+	times := trial.Table{Title: "Response times of done jobs", Case: "load"}
+	var lines []trial.Line
+	for _, k := range Three() {
+		for _, q := range []string{"p50", "p95", "p99"} {
+			times.Columns = append(times.Columns, trial.Column{Name: k.Name + " " + q, Unit: "ms"})
+		}
+		lines = append(lines, trial.Line{Name: k.Name + " p95"})
+	}
+	earned, bound := trial.Line{Name: "earned"}, trial.Line{Name: "bound"}
+	for _, load := range []float64{0.3, 0.5, 0.6, 0.7, 0.8, 0.9, 1, 1.2, 1.5, 2} {
+		set := Users(load * full)
+		from, to := set.Warm, set.Warm+set.Span
+		var got, most float64
+		var n Count
+		var took [3]*hdrhistogram.Histogram
+		each(t, set, func(g *Grid, part float64) {
+			got += part * g.Earned(from, to)
+			most += part * g.Bound(from, to, 1)
+			n.Add(g.Counts(-1, from, to))
+			for k := range took {
+				h := g.Times(k, from, to)
+				if took[k] != nil {
+					h.Merge(took[k])
+				}
+				took[k] = h
+			}
+		})
+		name, asked := percent(load), float64(n.Asked)
+		ended.Add(name, got, most, float64(n.InAim)/asked, float64(n.Late)/asked, float64(n.Refused)/asked, float64(n.Failed)/asked)
+		var figures []float64
+		for k, h := range took {
+			figures = append(figures, float64(h.ValueAtQuantile(50)), float64(h.ValueAtQuantile(95)), float64(h.ValueAtQuantile(99)))
+			lines[k].Add(load, float64(h.ValueAtQuantile(95)))
+		}
+		times.Add(name, figures...)
+		earned.Add(load, got)
+		bound.Add(load, most)
+	}
+	written(t, &trial.Report{
+		Name: "load", Title: "Served against load", Setup: "8 VMs, 48 endpoints in 4 failure domains, the users' three kinds of job, 12 s after 3 s of warming up; the bound is nobody's reach: all jobs known, tasks cut at will", Seeds: trialSeeds(),
+		Tables: []trial.Table{ended, times},
+		Plots: []trial.Plot{
+			{Name: "earned", Title: "Worth earned", X: "load, part of all cores", Y: "part of the worth asked for", Lines: []trial.Line{earned, bound}},
+			{Name: "times", Title: "Response times", X: "load, part of all cores", Y: "ms", Lines: lines},
+		},
+	})
+}
+
+func percent(x float64) string { return strconv.FormatFloat(x, 'f', 1, 64) }
+
+// What became of the worth that was not earned.
+func TestTrialsOfLosses(t *testing.T) {
+	if *out == "" {
+		t.Skip("played with -out")
+	}
+	cases := []struct {
+		name string
+		set  func() Setup
+	}{
+		{"calm", func() Setup { return rated(nil) }},
+		{"burst of 1.8", func() Setup { return rated(burst(1.8, hit, hit+4*time.Second, urgent, long, plain)) }},
+		{"burst of 2.5", func() Setup { return rated(burst(2.5, hit, hit+4*time.Second, urgent, long, plain)) }},
+		{"burst of 2.5, plain alone", func() Setup { return rated(burst(2.5, hit, hit+4*time.Second, plain)) }},
+		{"an owner killed", func() Setup { return faulty(func(g *Grid) { g.Restart(g.Owner("fd-a"), time.Second) }) }},
+		{"all killed", func() Setup { return faulty(func(g *Grid) { g.KillAll(600 * time.Millisecond) }) }},
+		{"a domain cut off", func() Setup { return faulty(cutOff) }},
+		{"an owner paused", func() Setup { return faulty(func(g *Grid) { g.Pause(g.Owner("fd-a"), 3*time.Second) }) }},
+		{"a rack lost", func() Setup { return faulty(rackLost) }},
+	}
+	all := make([]map[string]float64, len(cases))
+	reasons := map[string]bool{}
+	recovery := trial.Plot{Name: "recovery", Title: "Recovery", X: "seconds since the start", Y: "part of the worth earned in the half second"}
+	for i, c := range cases {
+		lost := map[string]float64{}
+		line := trial.Line{Name: c.name}
+		steps := make([]float64, 24)
+		each(t, c.set(), func(g *Grid, part float64) {
+			for why, x := range g.Lost(hit, hit+5*time.Second) {
+				lost[why] += part * x
+				reasons[why] = true
+			}
+			for s := range steps {
+				at := time.Duration(s) * recoveryStep
+				steps[s] += part * g.Earned(2*time.Second+at, 2*time.Second+at+recoveryStep)
+			}
+		})
+		for s, x := range steps {
+			line.Add(2+(time.Duration(s)*recoveryStep).Seconds(), x)
+		}
+		all[i] = lost
+		recovery.Lines = append(recovery.Lines, line)
+	}
+	table := trial.Table{Title: "Worth lost in the five seconds from the trouble's start", Case: "day"}
+	names := slices.Sorted(maps.Keys(reasons))
+	for _, name := range names {
+		table.Columns = append(table.Columns, trial.Column{Name: name, Decimals: 3})
+	}
+	table.Columns = append(table.Columns, trial.Column{Name: "in all", Decimals: 3})
+	for i, c := range cases {
+		var figures []float64
+		sum := 0.0
+		for _, name := range names {
+			figures = append(figures, all[i][name])
+			sum += all[i][name]
+		}
+		table.Add(c.name, append(figures, sum)...)
+	}
+	written(t, &trial.Report{
+		Name: "losses", Title: "What worth is lost to", Setup: "8 VMs, 48 endpoints in 4 failure domains, 0.55 of all cores asked for; trouble comes at second 5, bursts last 4 s", Seeds: trialSeeds(),
+		Tables: []trial.Table{table}, Plots: []trial.Plot{recovery},
+	})
+}
+
+// recoveryStep is the time over which a point of the recovery is taken.
+const recoveryStep = 500 * time.Millisecond
+
+func rated(rate func(int, time.Duration) float64) Setup {
+	set := Users(110)
+	set.Rate = rate
+	return set
+}
+
+func cutOff(g *Grid) {
+	g.Isolate("fd-c", true)
+	time.Sleep(3 * time.Second)
+	g.Isolate("fd-c", false)
+}
+
+// rackLost crashes six endpoints of which the list is told four seconds later.
+func rackLost(g *Grid) {
+	for n := range 6 {
+		g.Endpoint(n).Crash()
+	}
+	time.Sleep(4 * time.Second)
+	for n := range 6 {
+		g.Roster.Remove(g.Endpoint(n).ID)
+	}
+}
