Relays: reads wait less when the store is slow, and the first of the impatient reads for all

Change: who reads for others waits by twice the last answer's delay less; patience grows by 50 ms from VM to VM, and whoever reads out of impatience reads without waiting and passes it on. Both tests fail on the code before.

--- a/internal/edge/serve/follow.go
+++ b/internal/edge/serve/follow.go
@@ -35,12 +35,12 @@
 // relay prepares the topics that one VM of a failure domain reads for all.
 func (d *Node) relay() {
 	d.plans = (&feed.Relay[plan.Plan]{
-		Source: d.parts.Plans, Reads: d.reads, Share: d.sharePlans, Patience: planPatience,
+		Source: d.parts.Plans, Reads: d.reads, Share: d.sharePlans, Patience: d.patience(planPatience),
 		Same: func(was, is plan.Plan) bool { return was.Version == is.Version },
 		Ask:  func() { d.ask(frame.Ask{Plans: true}) }, Waits: func(time.Duration) bool { return false },
 	}).Init()
 	d.eps = (&feed.Relay[lease.Info]{
-		Source: d.parts.Endpoints, Reads: d.reads, Share: d.shareEndpoints, Patience: rosterPatience, Same: lease.Info.Same,
+		Source: d.parts.Endpoints, Reads: d.reads, Share: d.shareEndpoints, Patience: d.patience(rosterPatience), Same: lease.Info.Same,
 		Ask: func() { d.ask(frame.Ask{Endpoints: true}) }, Waits: d.waitsForCopy,
 	}).Init()
 }
@@ -55,14 +55,29 @@
 	return first
 }
 
-func (d *Node) first() bool {
+func (d *Node) first() bool { return d.place() == 0 }
+
+// place is how many VMs of the failure domain come before this one as its reader.
+func (d *Node) place() (n int) {
 	mine := xxhash.Sum64String(d.cfg.Domain + "|" + d.cfg.VM.String())
 	for _, m := range d.view.Members() {
 		if m.State == view.Alive && m.Domain == d.cfg.Domain && xxhash.Sum64String(m.Domain+"|"+m.VM.String()) > mine {
-			return false
+			n++
 		}
 	}
-	return true
+	return n
+}
+
+const (
+	// placeStep is how much longer the next VM waits for posts than the one before: longer
+	// than a read mostly takes. After mostPlaces no VM waits longer.
+	placeStep  = 50 * time.Millisecond
+	mostPlaces = 10
+)
+
+// patience is how long this VM does without posts.
+func (d *Node) patience(least time.Duration) func() time.Duration {
+	return func() time.Duration { return least + time.Duration(min(d.place(), mostPlaces))*placeStep }
 }
 
 // neighbours are the VMs of this one's failure domain that are heard.
--- a/internal/plat/feed/relay.go
+++ b/internal/plat/feed/relay.go
@@ -33,8 +33,10 @@
 	Share func(p Post[T])
 	// Same reports whether a record says nothing new; such a record is not passed on.
 	Same func(was, is T) bool
-	// Patience is how long a VM does without a post before it reads for itself.
-	Patience time.Duration
+	// Patience is how long this VM does without a post before it reads in its reader's
+	// place. It should differ from VM to VM: what the first one reads is passed on, and the
+	// others need not read it as well.
+	Patience func() time.Duration
 	// Ask asks another VM for its copy of the topic, which comes as a whole post.
 	Ask func()
 	// Waits reports whether a VM that knows nothing yet waits on for a copy after some time.
@@ -42,6 +44,7 @@
 	Waits func(after time.Duration) bool
 
 	posts chan Post[T]
+	late  time.Duration // how much longer than it was to wait the last read took
 
 	mu    sync.Mutex // guards what is copied
 	last  map[string]T
@@ -141,12 +144,26 @@
 }
 
 // Next implements Source.
+//
+// What may go wrong: the store slows down, posts come later than the others' patience, all
+// read for themselves, and the store slows down further. So reads for others wait less when
+// answers take longer, and of those whose patience ends the first reads for the rest.
 func (r *Relay[T]) Next(ctx context.Context, from int64, wait time.Duration) ([]Update[T], int64, error) {
-	if !r.Reads() {
-		if p, ok := r.hear(ctx, from); ok {
+	share := r.Reads()
+	if share {
+		wait = max(0, wait-2*r.late)
+	} else {
+		p, found, missed := r.hear(ctx, from)
+		switch {
+		case found:
 			return r.news(p.All, p.To), p.To, nil
+		case ctx.Err() != nil:
+			return nil, from, ctx.Err() //nolint:wrapcheck // the follower ends
+		case !missed:
+			share, wait = true, 0
 		}
 	}
+	began := time.Now()
 	more, next, err := r.Source.Next(ctx, from, wait)
 	if err != nil {
 		if errors.Is(err, ErrGone) {
@@ -154,17 +171,17 @@
 		}
 		return nil, from, err
 	}
+	r.late = max(0, time.Since(began)-wait)
 	news := r.news(more, next)
-	if r.Reads() {
+	if share {
 		r.Share(Post[T]{From: from, To: next, All: news})
 	}
 	return news, next, nil
 }
 
-// hear waits for a post that goes on from a place; false if there is none, or one in
-// between is missing.
-func (r *Relay[T]) hear(ctx context.Context, from int64) (Post[T], bool) {
-	t := time.NewTimer(r.Patience)
+// hear waits for a post that goes on from a place, and tells if one in between is missing.
+func (r *Relay[T]) hear(ctx context.Context, from int64) (p Post[T], found, missed bool) {
+	t := time.NewTimer(r.Patience())
 	defer t.Stop()
 	for {
 		select {
@@ -172,11 +189,11 @@
 			if p.Whole || p.To < from {
 				continue // older than what was read here
 			}
-			return p, p.From <= from
+			return p, p.From <= from, p.From > from
 		case <-t.C:
-			return Post[T]{}, false
+			return p, false, false
 		case <-ctx.Done():
-			return Post[T]{}, false
+			return p, false, false
 		}
 	}
 }
--- a/internal/plat/feed/relay_test.go
+++ b/internal/plat/feed/relay_test.go
@@ -1,7 +1,9 @@
 package feed_test
 
 import (
+	"context"
 	"errors"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -23,21 +25,21 @@
 
 func newPair() *pair {
 	p := &pair{topic: fakes.NewTopic[int](), reads: true}
-	relay := func(reads func() bool) *feed.Relay[int] {
+	relay := func(reads func() bool, share func(feed.Post[int])) *feed.Relay[int] {
 		r := &feed.Relay[int]{
-			Source: p.topic, Reads: reads, Same: func(was, is int) bool { return was == is }, Patience: time.Second,
+			Source: p.topic, Reads: reads, Same: func(was, is int) bool { return was == is }, Patience: func() time.Duration { return time.Second },
 			Ask: func() {}, Waits: func(time.Duration) bool { return false },
-			Share: func(x feed.Post[int]) {
-				p.posts++
-				if !p.lost {
-					p.b.Deliver(x)
-				}
-			},
+			Share: share,
 		}
 		return r.Init()
 	}
-	p.a = relay(func() bool { return p.reads })
-	p.b = relay(func() bool { return false })
+	p.a = relay(func() bool { return p.reads }, func(x feed.Post[int]) {
+		p.posts++
+		if !p.lost {
+			p.b.Deliver(x)
+		}
+	})
+	p.b = relay(func() bool { return false }, func(feed.Post[int]) {})
 	return p
 }
 
@@ -108,7 +110,7 @@
 // answer comes after a while.
 func fresh(p *pair, answers time.Duration, waits func(time.Duration) bool) *feed.Relay[int] {
 	r := &feed.Relay[int]{
-		Source: p.topic, Reads: func() bool { return false }, Same: func(was, is int) bool { return was == is }, Patience: time.Second,
+		Source: p.topic, Reads: func() bool { return false }, Same: func(was, is int) bool { return was == is }, Patience: func() time.Duration { return time.Second },
 		Waits: waits, Share: func(feed.Post[int]) {},
 	}
 	r.Ask = func() {
@@ -169,3 +171,82 @@
 		is.Equal(all, []feed.Update[int]{{Key: "k", Value: 3}})
 	})
 }
+
+// slow is a source whose answers take a while.
+type slow struct {
+	*fakes.Topic[int]
+	takes time.Duration
+	reads int
+}
+
+func (s *slow) Next(ctx context.Context, from int64, wait time.Duration) ([]feed.Update[int], int64, error) {
+	if ctx.Err() == nil {
+		s.reads++
+	}
+	time.Sleep(s.takes)
+	return s.Topic.Next(ctx, from, wait)
+}
+
+// domain is VMs of which the first reads for all, unless it is silent; they follow until
+// the time is over.
+func domain(t *testing.T, src *slow, vms int, silent bool, span time.Duration) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), span)
+	defer cancel()
+	all := make([]*feed.Relay[int], vms)
+	var wg sync.WaitGroup
+	for i := range all {
+		all[i] = (&feed.Relay[int]{
+			Source: src, Reads: func() bool { return i == 0 }, Same: func(was, is int) bool { return was == is },
+			Patience: func() time.Duration { return time.Second + time.Duration(min(i, 10))*50*time.Millisecond },
+			Ask:      func() {}, Waits: func(time.Duration) bool { return false },
+			Share: func(p feed.Post[int]) {
+				for k, o := range all {
+					if k != i {
+						o.Deliver(p)
+					}
+				}
+			},
+		}).Init()
+	}
+	for i, r := range all {
+		if i == 0 && silent {
+			continue
+		}
+		wg.Go(func() {
+			for at := int64(0); ctx.Err() == nil; {
+				_, next, err := r.Next(ctx, at, 900*time.Millisecond)
+				if err != nil {
+					return // the time is over
+				}
+				at = next
+			}
+		})
+	}
+	wg.Wait()
+}
+
+// Symptom: at 300 VMs a change takes 2.3 s to be in force at the last, and each VM reads the
+// store itself once a second. Sequence: the store's answers take 150 ms. Cause: the VM that
+// reads for its domain waits 0.9 s for news, and its post comes after the patience of the
+// others has ended; their reads keep the store slow.
+func TestSlowStoreIsNotReadByAll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		src := &slow{Topic: fakes.NewTopic[int](), takes: 150 * time.Millisecond}
+		domain(t, src, 75, false, 20*time.Second)
+		t.Logf("%d reads in 20 s", src.reads)
+		is.New(t).True(src.reads <= 60) // of the one that reads
+	})
+}
+
+// Symptom: when the VM that reads for its domain is lost, all 74 others read the store.
+// Sequence: it falls silent; others notice by its state only later. Cause: each reads for
+// itself though the first that does could read for all.
+func TestFirstOfTheImpatientReadsForAll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		src := &slow{Topic: fakes.NewTopic[int](), takes: 20 * time.Millisecond}
+		domain(t, src, 75, true, 20*time.Second)
+		t.Logf("%d reads in 20 s", src.reads)
+		is.New(t).True(src.reads <= 40)
+	})
+}
