--- a/internal/edge/serve/beat.go
+++ b/internal/edge/serve/beat.go
@@ -190,9 +190,9 @@
 		d.resolve(now, from.VM, m.Call, m.Answer)
 		d.mu.Unlock()
 	case *frame.Planned:
-		d.plannedBy(m)
+		d.plannedBy(from.VM, m)
 	case *frame.Listed:
-		d.listedBy(m)
+		d.listedBy(from.VM, m)
 	case *frame.Ask:
 		d.tellCopy(from.VM, m)
 	default:
--- a/internal/edge/serve/follow.go
+++ b/internal/edge/serve/follow.go
@@ -35,12 +35,12 @@
 // relay prepares the topics that one VM of a failure domain reads for all.
 func (d *Node) relay() {
 	d.plans = (&feed.Relay[plan.Plan]{
-		Source: d.parts.Plans, Reads: d.reads, Share: d.sharePlans, Patience: d.patience(planPatience),
+		Source: d.parts.Plans, Reads: d.reads, Share: d.sharePlans, Patience: d.patience(planPatience), Alone: d.alone("plan"),
 		Same: func(was, is plan.Plan) bool { return was.Version == is.Version },
 		Ask:  func() { d.ask(frame.Ask{Plans: true}) }, Waits: func(time.Duration) bool { return false },
 	}).Init()
 	d.eps = (&feed.Relay[lease.Info]{
-		Source: d.parts.Endpoints, Reads: d.reads, Share: d.shareEndpoints, Patience: d.patience(rosterPatience), Same: lease.Info.Same,
+		Source: d.parts.Endpoints, Reads: d.reads, Share: d.shareEndpoints, Patience: d.patience(rosterPatience), Alone: d.alone("endpoints"), Same: lease.Info.Same,
 		Ask: func() { d.ask(frame.Ask{Endpoints: true}) }, Waits: d.waitsForCopy,
 	}).Init()
 }
@@ -80,6 +80,13 @@
 	return func() time.Duration { return least + time.Duration(min(d.place(), mostPlaces))*placeStep }
 }
 
+// alone logs that this VM reads in place of the one that should.
+func (d *Node) alone(feed string) func(from int64) {
+	return func(from int64) {
+		d.log.Info("no word of the store's reader", "feed", feed, "from", from, "place", d.place())
+	}
+}
+
 // neighbours are the VMs of this one's failure domain that are heard.
 func (d *Node) neighbours() (to []netip.AddrPort) {
 	for _, m := range d.view.Members() {
@@ -121,7 +128,10 @@
 }
 
 // plannedBy takes in what another VM read of the configuration.
-func (d *Node) plannedBy(m *frame.Planned) {
+func (d *Node) plannedBy(from netip.AddrPort, m *frame.Planned) {
+	if m.Whole {
+		d.log.Info("copy of the configuration", "by", from, "at", m.To, "documents", len(m.All))
+	}
 	p := feed.Post[plan.Plan]{From: m.From, To: m.To, Whole: m.Whole}
 	for _, v := range m.All {
 		p.All = append(p.All, feed.Update[plan.Plan]{Value: v})
@@ -130,7 +140,10 @@
 }
 
 // listedBy takes in what another VM read of the endpoints.
-func (d *Node) listedBy(m *frame.Listed) {
+func (d *Node) listedBy(from netip.AddrPort, m *frame.Listed) {
+	if m.Whole {
+		d.log.Info("copy of the endpoints", "by", from, "at", m.To, "endpoints", len(m.All))
+	}
 	p := feed.Post[lease.Info]{From: m.From, To: m.To, Whole: m.Whole}
 	for _, in := range m.All {
 		p.All = append(p.All, feed.Update[lease.Info]{Key: in.ID, Value: in})
--- a/internal/plat/feed/relay.go
+++ b/internal/plat/feed/relay.go
@@ -37,6 +37,8 @@
 	// place. It should differ from VM to VM: what the first one reads is passed on, and the
 	// others need not read it as well.
 	Patience func() time.Duration
+	// Alone is told from where this VM reads in its reader's place.
+	Alone func(from int64)
 	// Ask asks another VM for its copy of the topic, which comes as a whole post.
 	Ask func()
 	// Waits reports whether a VM that knows nothing yet waits on for a copy after some time.
@@ -160,6 +162,7 @@
 		case ctx.Err() != nil:
 			return nil, from, ctx.Err() //nolint:wrapcheck // the follower ends
 		case !missed:
+			r.Alone(from)
 			share, wait = true, 0
 		}
 	}
--- a/internal/plat/feed/relay_test.go
+++ b/internal/plat/feed/relay_test.go
@@ -28,7 +28,7 @@
 	relay := func(reads func() bool, share func(feed.Post[int])) *feed.Relay[int] {
 		r := &feed.Relay[int]{
 			Source: p.topic, Reads: reads, Same: func(was, is int) bool { return was == is }, Patience: func() time.Duration { return time.Second },
-			Ask: func() {}, Waits: func(time.Duration) bool { return false },
+			Ask: func() {}, Alone: func(int64) {}, Waits: func(time.Duration) bool { return false },
 			Share: share,
 		}
 		return r.Init()
@@ -111,7 +111,7 @@
 func fresh(p *pair, answers time.Duration, waits func(time.Duration) bool) *feed.Relay[int] {
 	r := &feed.Relay[int]{
 		Source: p.topic, Reads: func() bool { return false }, Same: func(was, is int) bool { return was == is }, Patience: func() time.Duration { return time.Second },
-		Waits: waits, Share: func(feed.Post[int]) {},
+		Alone: func(int64) {}, Waits: waits, Share: func(feed.Post[int]) {},
 	}
 	r.Ask = func() {
 		if c, ok := p.a.Copy(); ok {
@@ -199,7 +199,7 @@
 		all[i] = (&feed.Relay[int]{
 			Source: src, Reads: func() bool { return i == 0 }, Same: func(was, is int) bool { return was == is },
 			Patience: func() time.Duration { return time.Second + time.Duration(min(i, 10))*50*time.Millisecond },
-			Ask:      func() {}, Waits: func(time.Duration) bool { return false },
+			Ask:      func() {}, Alone: func(int64) {}, Waits: func(time.Duration) bool { return false },
 			Share: func(p feed.Post[int]) {
 				for k, o := range all {
 					if k != i {
