--- /dev/null
+++ b/internal/edge/serve/relay.go
@@ -0,0 +1,197 @@
+package serve
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"dahliawinch/internal/conf/plan"
+	"dahliawinch/internal/mesh/frame"
+	"dahliawinch/internal/mesh/view"
+	"dahliawinch/internal/plat/feed"
+	"dahliawinch/internal/task/lease"
+)
+
+const (
+	// planPatience is how long a VM does without word of the one that reads for it, and
+	// rosterPatience the same for the endpoints: somewhat longer than the pause between.
+	planPatience   = 1100 * time.Millisecond
+	rosterPatience = time.Second
+)
+
+// relay prepares the topics that one VM of a failure domain reads for all.
+func (d *Node) relay() {
+	d.plans = (&feed.Relay[plan.Plan]{
+		Source: d.parts.Plans, Reads: d.reads, Share: d.sharePlans, Patience: d.patience(planPatience), Alone: d.alone("plan"),
+		Same: func(was, is plan.Plan) bool { return was.Version == is.Version },
+		Ask:  func() { d.ask(frame.Ask{Plans: true}) }, Waits: func(time.Duration) bool { return false },
+	}).Init()
+	d.eps = (&feed.Relay[lease.Info]{
+		Source: d.parts.Endpoints, Reads: d.reads, Share: d.shareEndpoints, Patience: d.patience(rosterPatience), Alone: d.alone("endpoints"), Same: lease.Info.Same,
+		Ask: func() { d.ask(frame.Ask{Endpoints: true}) }, Waits: d.waitsForCopy,
+	}).Init()
+}
+
+// reads reports whether this VM reads for its failure domain: the first by rendezvous
+// hashing of those that are heard there.
+func (d *Node) reads() bool {
+	first := d.first()
+	if d.reading.Swap(first) != first {
+		d.log.Info("store read for the failure domain", "by", d.cfg.VM, "now", first)
+	}
+	return first
+}
+
+func (d *Node) first() bool { return d.place() == 0 }
+
+// place is how many VMs of the failure domain come before this one as its reader.
+func (d *Node) place() (n int) {
+	mine := xxhash.Sum64String(d.cfg.Domain + "|" + d.cfg.VM.String())
+	for _, m := range d.view.Members() {
+		if m.State == view.Alive && m.Domain == d.cfg.Domain && xxhash.Sum64String(m.Domain+"|"+m.VM.String()) > mine {
+			n++
+		}
+	}
+	return n
+}
+
+const (
+	// placeStep is how much longer the next VM waits for posts than the one before: longer
+	// than a read mostly takes. After mostPlaces no VM waits longer.
+	placeStep  = 50 * time.Millisecond
+	mostPlaces = 10
+)
+
+// patience is how long this VM does without posts.
+func (d *Node) patience(least time.Duration) func() time.Duration {
+	return func() time.Duration { return least + time.Duration(min(d.place(), mostPlaces))*placeStep }
+}
+
+// alone logs that this VM reads in place of the one that should.
+func (d *Node) alone(feed string) func(from int64) {
+	return func(from int64) {
+		d.log.Info("no word of the store's reader", "feed", feed, "from", from, "place", d.place())
+	}
+}
+
+// neighbours are the VMs of this one's failure domain that are heard.
+func (d *Node) neighbours() (to []netip.AddrPort) {
+	for _, m := range d.view.Members() {
+		if m.Domain == d.cfg.Domain && (m.State == view.Alive || m.State == view.Left) {
+			to = append(to, m.VM)
+		}
+	}
+	return to
+}
+
+func (d *Node) sharePlans(p feed.Post[plan.Plan]) { d.parts.Mesh.Spread(d.neighbours(), planFrame(p)) }
+
+func planFrame(p feed.Post[plan.Plan]) *frame.Planned {
+	m := &frame.Planned{From: p.From, To: p.To, Whole: p.Whole}
+	for _, u := range p.All {
+		if !u.Gone && u.Err == nil {
+			m.All = append(m.All, u.Value)
+		}
+	}
+	return m
+}
+
+func (d *Node) shareEndpoints(p feed.Post[lease.Info]) {
+	d.parts.Mesh.Spread(d.neighbours(), rosterFrame(p))
+}
+
+func rosterFrame(p feed.Post[lease.Info]) *frame.Listed {
+	m := &frame.Listed{From: p.From, To: p.To, Whole: p.Whole}
+	for _, u := range p.All {
+		switch {
+		case u.Err != nil:
+		case u.Gone:
+			m.Gone = append(m.Gone, u.Key)
+		default:
+			m.All = append(m.All, u.Value)
+		}
+	}
+	return m
+}
+
+// plannedBy takes in what another VM read of the configuration.
+func (d *Node) plannedBy(from netip.AddrPort, m *frame.Planned) {
+	if m.Whole {
+		d.log.Info("copy of the configuration", "by", from, "at", m.To, "documents", len(m.All))
+	}
+	p := feed.Post[plan.Plan]{From: m.From, To: m.To, Whole: m.Whole}
+	for _, v := range m.All {
+		p.All = append(p.All, feed.Update[plan.Plan]{Value: v})
+	}
+	d.plans.Deliver(p)
+}
+
+// listedBy takes in what another VM read of the endpoints.
+func (d *Node) listedBy(from netip.AddrPort, m *frame.Listed) {
+	if m.Whole {
+		d.log.Info("copy of the endpoints", "by", from, "at", m.To, "endpoints", len(m.All))
+	}
+	p := feed.Post[lease.Info]{From: m.From, To: m.To, Whole: m.Whole}
+	for _, in := range m.All {
+		p.All = append(p.All, feed.Update[lease.Info]{Key: in.ID, Value: in})
+	}
+	for _, id := range m.Gone {
+		p.All = append(p.All, feed.Update[lease.Info]{Key: id, Gone: true})
+	}
+	d.eps.Deliver(p)
+}
+
+const (
+	// largeFleet is how many VMs make reading the store at every start too dear: the
+	// endpoints of so many are some 100 KB, and many may start at once.
+	largeFleet = 32
+	// namedWait is how long a start waits to learn how many VMs there are, which is one
+	// call to the store.
+	namedWait = 100 * time.Millisecond
+	// firstWait is how long the VM that reads for its failure domain waits for a copy when
+	// it starts, by when it is linked to VMs that live; copyWait is how long the others do.
+	firstWait = 200 * time.Millisecond
+	copyWait  = time.Second
+)
+
+// waitsForCopy reports whether a VM that knows no endpoints waits for another's copy.
+func (d *Node) waitsForCopy(after time.Duration) bool {
+	t := time.NewTimer(namedWait)
+	defer t.Stop()
+	select {
+	case <-d.named:
+	case <-t.C:
+	case <-d.ctx.Done():
+	}
+	if len(d.view.Members()) < largeFleet {
+		return false
+	}
+	return after < firstWait || (!d.first() && after < copyWait)
+}
+
+// ask asks a VM that is heard, of the own failure domain if there is one, for a copy.
+func (d *Node) ask(m frame.Ask) {
+	of := d.neighbours()
+	if len(of) == 0 {
+		for _, p := range d.view.Members() {
+			if p.State == view.Alive {
+				of = append(of, p.VM)
+			}
+		}
+	}
+	if len(of) > 0 {
+		_ = d.parts.Mesh.Cast(of[rand.N(len(of))], &m) // it is asked again
+	}
+}
+
+// tellCopy answers a VM that asks for a copy; one that has none stays silent.
+func (d *Node) tellCopy(to netip.AddrPort, m *frame.Ask) {
+	if p, ok := d.plans.Copy(); ok && m.Plans {
+		d.parts.Mesh.Spread([]netip.AddrPort{to}, planFrame(p))
+	}
+	if p, ok := d.eps.Copy(); ok && m.Endpoints {
+		d.parts.Mesh.Spread([]netip.AddrPort{to}, rosterFrame(p))
+	}
+}
