--- a/internal/tool/soak/fault.go
+++ b/internal/tool/soak/fault.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"syscall"
 	"time"
 
@@ -21,9 +22,45 @@
 		name, do := s.draw()
 		s.faults = append(s.faults, name)
 		do()
+		if s.declares.IntN(4) == 0 {
+			s.declare(s.vms[s.declares.IntN(len(s.vms))])
+		}
 	}
 }
 
+// declare changes a VM's settings while it runs: other seeds, or a file that must not be
+// taken over. It is told by a signal, or finds out by itself.
+func (s *Soak) declare(v *vm) {
+	set := maps.Clone(v.set)
+	name := "broken"
+	switch s.declares.IntN(3) {
+	case 0:
+		set["mesh"] = "nowhere"
+	case 1:
+		name = "stale"
+		set["seeds"] = v.set["ready"] // nobody speaks there as a VM
+	default:
+		name = "good"
+		set["seeds"] = fmt.Sprint(s.vms[0].set["mesh"], ",", s.vms[len(s.vms)-1].set["mesh"])
+	}
+	hup := s.declares.IntN(2) == 0
+	s.faults = append(s.faults, fmt.Sprintf("%s settings for vm %d, told %t", name, v.n, hup))
+	if err := v.write(set); err != nil {
+		s.faults = append(s.faults, err.Error())
+	}
+	if hup {
+		s.signal(v, syscall.SIGHUP)
+	}
+	time.AfterFunc(settingsFor, func() {
+		if err := v.write(v.set); err != nil {
+			panic(err) // the run would go on with settings that nobody chose
+		}
+	})
+}
+
+// settingsFor is how long changed settings stand: as long as a daemon takes to look.
+const settingsFor = 1500 * time.Millisecond
+
 // draw makes one fault; what lasts is undone in the background or by calm.
 func (s *Soak) draw() (string, func()) {
 	v := s.vms[s.r.IntN(len(s.vms))]
@@ -90,7 +127,11 @@
 		<-ended
 	}
 	time.Sleep(down)
-	if err := s.start(v); err != nil {
+	err := v.write(v.set) // whoever starts a daemon gives it settings that it can begin with
+	if err == nil {
+		err = s.start(v)
+	}
+	if err != nil {
 		s.faults = append(s.faults, err.Error())
 	}
 }
--- a/internal/tool/soak/soak.go
+++ b/internal/tool/soak/soak.go
@@ -57,6 +57,8 @@
 	judge *grid.Judge
 	store *stand.Store
 	r     *rand.Rand // of the faults, one goroutine
+	// declares is of the settings, so that a seed's other faults stay what they were.
+	declares *rand.Rand
 
 	mu     sync.Mutex
 	vms    []*vm
@@ -73,6 +75,7 @@
 	n        int
 	callers  netip.AddrPort
 	settings string
+	set      map[string]any // what stands there
 	cmd      *exec.Cmd
 	log      *os.File
 	ended    chan struct{}
@@ -80,7 +83,7 @@
 
 // Run plays one seed.
 func Run(ctx context.Context, o Options) (Report, error) {
-	s := &Soak{Options: o, judge: grid.NewJudge(), store: stand.NewStore(), r: rand.New(rand.NewPCG(o.Seed, 31)), told: map[job.Outcome]int{}}
+	s := &Soak{Options: o, judge: grid.NewJudge(), store: stand.NewStore(), r: rand.New(rand.NewPCG(o.Seed, 31)), declares: rand.New(rand.NewPCG(o.Seed, 32)), told: map[job.Outcome]int{}}
 	defer s.end()
 	if err := s.build(); err != nil {
 		return Report{}, fmt.Errorf("soak seed %d: %w", o.Seed, err)
@@ -177,15 +180,12 @@
 			return nil, err
 		}
 	}
-	text, err := json.Marshal(map[string]any{
+	v := &vm{n: i, callers: at[0], settings: filepath.Join(s.Dir, fmt.Sprintf("vm-%d.json", i)), set: map[string]any{
 		"name": fmt.Sprint("vm-", i), "domain": domain(i), "caller": at[0], "ready": at[1], "mesh": at[2], "store": s.vault.l.Addr().String(),
-	})
+	}}
+	err := v.write(v.set)
 	if err != nil {
-		return nil, fmt.Errorf("settings: %w", err)
-	}
-	v := &vm{n: i, callers: at[0], settings: filepath.Join(s.Dir, fmt.Sprintf("vm-%d.json", i))}
-	if err := os.WriteFile(v.settings, text, 0o600); err != nil {
-		return nil, fmt.Errorf("settings: %w", err)
+		return nil, err
 	}
 	v.log, err = os.Create(filepath.Join(s.Dir, fmt.Sprintf("vm-%d.log", i)))
 	if err != nil {
@@ -194,6 +194,22 @@
 	return v, nil
 }
 
+// write puts settings where the daemon reads them, whole.
+func (v *vm) write(set map[string]any) error {
+	text, err := json.Marshal(set)
+	if err != nil {
+		return fmt.Errorf("settings of vm %d: %w", v.n, err)
+	}
+	next := v.settings + ".next"
+	if err := os.WriteFile(next, text, 0o600); err != nil {
+		return fmt.Errorf("settings of vm %d: %w", v.n, err)
+	}
+	if err := os.Rename(next, v.settings); err != nil {
+		return fmt.Errorf("settings of vm %d: %w", v.n, err)
+	}
+	return nil
+}
+
 // start starts a daemon's process; the caller knows that it is not running.
 func (s *Soak) start(v *vm) error {
 	cmd := exec.Command(s.Binary, "serve", v.settings) //nolint:noctx // it is ended by signals
--- a/internal/tool/soak/soak_test.go
+++ b/internal/tool/soak/soak_test.go
@@ -16,6 +16,8 @@
 	seeds = flag.Int("seeds", 1, "seeds to play")
 	seed  = flag.Uint64("seed", 1, "the first of them")
 	keep  = flag.String("keep", "", "folder for the daemons' logs, which are else dropped")
+	vms   = flag.Int("vms", 4, "daemons, in two failure domains")
+	rate  = flag.Float64("rate", 25, "jobs a second")
 	span  = flag.Duration("span", 6*time.Second, "how long callers come")
 )
 
@@ -45,7 +47,7 @@
 					t.Fatal(err)
 				}
 			}
-			r, err := Run(t.Context(), Options{Binary: binary, Dir: dir, Seed: sd, VMs: 4, Endpoints: 8, Rate: 25, Span: *span})
+			r, err := Run(t.Context(), Options{Binary: binary, Dir: dir, Seed: sd, VMs: *vms, Endpoints: 2 * *vms, Rate: *rate, Span: *span})
 			if err != nil {
 				t.Fatal(err)
 			}
