--- a/internal/mesh/link/receiver.go
+++ b/internal/mesh/link/receiver.go
@@ -104,7 +104,7 @@
 			return
 		}
 		h.count(frame.Purpose(m), "in", n)
-		rec.word.Store(h.clock())
+		rec.word.Store(int64(h.clock()))
 		if frame.Reliable(m) {
 			rec.seen.Add(1)
 		}
--- a/internal/mesh/link/sender.go
+++ b/internal/mesh/link/sender.go
@@ -41,9 +41,9 @@
 	bytes  int
 	online bool
 	conn   net.Conn
-	word   int64 // when the last acknowledgement came on this connection
+	word   time.Duration // when the last acknowledgement came on this connection, by the hub's clock
 
-	wrote atomic.Int64 // when something was written last
+	wrote atomic.Int64 // when something was written last, by the hub's clock
 }
 
 // mostLoose is how many frames that may be lost wait for a connection to write.
@@ -156,7 +156,7 @@
 			if _, err := c.Write(buf); err != nil {
 				return fmt.Errorf("link to %s: %w", s.to, err)
 			}
-			s.wrote.Store(s.h.clock())
+			s.wrote.Store(int64(s.h.clock()))
 			continue
 		}
 		select {
@@ -277,7 +277,7 @@
 
 // look ends the connection if it is silent: the peer says nothing on any connection, or
 // nothing on this one for long.
-func (s *sender) look(now int64, w word) {
+func (s *sender) look(now time.Duration, w word) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.online {
@@ -287,8 +287,8 @@
 	if w.inc == s.inc {
 		said = max(said, w.at)
 	}
-	if now-said > int64(ackWait) || now-s.word > int64(ackMost) {
-		s.h.log.Debug("link silent", "to", s.to, "unacknowledged", time.Duration(now-s.word))
+	if now-said > ackWait || now-s.word > ackMost {
+		s.h.log.Debug("link silent", "to", s.to, "unacknowledged", now-s.word)
 		_ = s.conn.Close() // whoever reads and writes it sees that
 		s.conn, s.online = nil, false
 	}
--- a/internal/mesh/link/tend.go
+++ b/internal/mesh/link/tend.go
@@ -21,7 +21,7 @@
 		now := h.clock()
 		h.acks(now)
 		// A VM that stood still has read nothing meanwhile: that says nothing of its peers.
-		if now-last < int64(ackWait/2) {
+		if now-last < ackWait/2 {
 			h.silences(now)
 		}
 		last = now
@@ -29,7 +29,7 @@
 }
 
 // acks says on each connection how far it was read.
-func (h *Hub) acks(now int64) {
+func (h *Hub) acks(now time.Duration) {
 	type due struct {
 		i    *inbound
 		idle time.Duration
@@ -38,7 +38,7 @@
 	all := make([]due, 0, len(h.heard))
 	for i := range h.heard {
 		idle := ackIdle
-		if s := h.out[i.rec.from.VM]; s != nil && now-s.wrote.Load() < int64(spokeLast) {
+		if s := h.out[i.rec.from.VM]; s != nil && now-time.Duration(s.wrote.Load()) < spokeLast {
 			idle = ackRest
 		}
 		all = append(all, due{i, idle})
@@ -56,7 +56,7 @@
 }
 
 // silences ends connections without word, so that new ones take their place.
-func (h *Hub) silences(now int64) {
+func (h *Hub) silences(now time.Duration) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for vm, s := range h.out {
@@ -68,15 +68,16 @@
 // lock.
 func (h *Hub) word(vm netip.AddrPort) (w word) {
 	if r := h.in[vm]; r != nil {
-		w = word{r.word.Load(), r.from.Inc}
+		w = word{time.Duration(r.word.Load()), r.from.Inc}
 	}
 	return w
 }
 
+// word is a sign of life of a VM.
 type word struct {
-	at  int64 // by the hub's clock
+	at  time.Duration // by the hub's clock
 	inc uint64
 }
 
 // clock is the time since the hub was made.
-func (h *Hub) clock() int64 { return int64(time.Since(h.began)) }
+func (h *Hub) clock() time.Duration { return time.Since(h.began) }
