Relays: no timer that has ended before it is waited for

Cause: a timer of no length inside a synctest bubble is run by the select itself; with the race detector the runtime faults there (its own fault: the code only reads a channel). Change: without a wait, posts that came are looked at, and no timer is made.

--- a/internal/plat/feed/relay.go
+++ b/internal/plat/feed/relay.go
@@ -123,21 +123,25 @@
 	return p, false
 }
 
-// await waits for a whole post that is of use.
+// await waits for a whole post that is of use; without a wait it looks at those that came.
 func (r *Relay[T]) await(ctx context.Context, wait time.Duration) (p Post[T], ok bool) {
-	t := time.NewTimer(wait)
-	defer t.Stop()
-	for {
+	for over := time.Now().Add(wait); ; {
 		select {
 		case p = <-r.posts:
 		default:
+			left := time.Until(over)
+			if left <= 0 {
+				return p, false
+			}
+			t := time.NewTimer(left)
 			select {
 			case p = <-r.posts:
 			case <-t.C:
-				return p, false
 			case <-ctx.Done():
+				t.Stop()
 				return p, false
 			}
+			t.Stop()
 		}
 		if p.Whole && p.To >= r.least {
 			return p, true
