--- a/internal/mesh/link/hub.go
+++ b/internal/mesh/link/hub.go
@@ -33,8 +33,9 @@
 	ackWrite = 20 * time.Millisecond
 	// ackRest takes the place of ackIdle while the receiver's own messages reach the peer:
 	// they show as well that the path between the two works. With 75 VMs in a failure
-	// domain idle acknowledgements would be half of all messages.
-	ackRest = 400 * time.Millisecond
+	// domain idle acknowledgements would be half of all messages. With the time to the next
+	// look it is 400 ms, and less than ackWait even if the messages were lost.
+	ackRest = 350 * time.Millisecond
 	// spokeLast is how long ago the receiver's own message may be for that: somewhat longer
 	// than the slowest heartbeats are apart.
 	spokeLast = 400 * time.Millisecond
--- a/internal/mesh/link/link_test.go
+++ b/internal/mesh/link/link_test.go
@@ -238,13 +238,36 @@
 	is := is.New(t)
 	a, b := start(t, 1, "127.0.0.1:0"), start(t, 1, "127.0.0.1:0")
 	converse(a, b, 500*time.Millisecond)
-	b.hub.mu.Lock()
-	b.hub.in[a.at].conns.Add(1) // the acknowledgements stop as well
-	b.hub.mu.Unlock()
-	a.mu.Lock()
-	a.conn[0].silent.Store(true)
-	a.mu.Unlock()
+	forget(a, b)
 	converse(a, b, 900*time.Millisecond)
 	n, _ := a.dialed()
 	is.Equal(n, 2)
 }
+
+// forget makes the connection from one VM to another swallow what is sent, both ways.
+func forget(from, to *side) {
+	to.hub.mu.Lock()
+	to.hub.in[from.at].conns.Add(1) // the acknowledgements stop as well
+	to.hub.mu.Unlock()
+	from.mu.Lock()
+	from.conn[0].silent.Store(true)
+	from.mu.Unlock()
+}
+
+// Symptom: both links between two VMs go down though only one was harmed, and jobs given
+// over the other are turned away. Sequence: something forgets the connection over which the
+// peer speaks; on the healthy one it acknowledges seldom, since it believes to be heard.
+// Cause: acknowledgements come no sooner than silence is declared.
+func TestForgottenConnectionTakesNoOtherWithIt(t *testing.T) {
+	is := is.New(t)
+	for range 3 {
+		a, b := start(t, 1, "127.0.0.1:0"), start(t, 1, "127.0.0.1:0")
+		converse(a, b, 500*time.Millisecond)
+		forget(b, a)
+		converse(a, b, 1500*time.Millisecond)
+		n, _ := a.dialed()
+		is.Equal(n, 1) // its own link stayed
+		n, _ = b.dialed()
+		is.Equal(n, 2)
+	}
+}
--- a/internal/plat/feed/relay.go
+++ b/internal/plat/feed/relay.go
@@ -46,12 +46,14 @@
 	Waits func(after time.Duration) bool
 
 	posts chan Post[T]
-	late  time.Duration // how much longer than it was to wait the last read took
-
-	mu    sync.Mutex // guards what is copied
-	last  map[string]T
-	at    int64 // place up to which last is known; negative before the first read
-	least int64 // a copy from before is of no use: the store has dropped what follows it
+	// Only the follower's goroutine uses these.
+	late   time.Duration // how much longer than it was to wait the last read took
+	least  int64         // a copy from before is of no use: the store has dropped what follows it
+	copied bool          // what is known is another VM's copy, not yet held against the store
+
+	mu   sync.Mutex // guards what is copied
+	last map[string]T
+	at   int64 // place up to which last is known; negative before the first read
 }
 
 // askEvery is the time between two questions for a copy: longer than a copy of some
@@ -89,12 +91,14 @@
 // Newest implements Source.
 func (r *Relay[T]) Newest(ctx context.Context) ([]Update[T], int64, error) {
 	if p, ok := r.whole(ctx); ok {
+		r.copied = true
 		return r.anew(p.All, p.To), p.To, nil
 	}
 	all, next, err := r.Source.Newest(ctx)
 	if err != nil {
 		return nil, 0, err
 	}
+	r.copied = false
 	return r.anew(all, next), next, nil
 }
 
@@ -155,21 +159,34 @@
 // read for themselves, and the store slows down further. So reads for others wait less when
 // answers take longer, and of those whose patience ends the first reads for the rest.
 func (r *Relay[T]) Next(ctx context.Context, from int64, wait time.Duration) ([]Update[T], int64, error) {
-	share := r.Reads()
-	if share {
-		wait = max(0, wait-2*r.late)
-	} else {
-		p, found, missed := r.hear(ctx, from)
-		switch {
-		case found:
-			return r.news(p.All, p.To), p.To, nil
-		case ctx.Err() != nil:
-			return nil, from, ctx.Err() //nolint:wrapcheck // the follower ends
-		case !missed:
-			r.Alone(from)
-			share, wait = true, 0
+	if r.copied {
+		// What was late at the VM that gave the copy must not become later here. While the
+		// store is away, posts are heard, and it is asked again after each.
+		more, next, err := r.read(ctx, from, 0, false)
+		r.copied = err != nil
+		if err == nil || errors.Is(err, ErrGone) || r.Reads() {
+			return more, next, err
 		}
 	}
+	if r.Reads() {
+		return r.read(ctx, from, max(0, wait-2*r.late), true)
+	}
+	p, found, missed := r.hear(ctx, from)
+	switch {
+	case found:
+		return r.news(p.All, p.To), p.To, nil
+	case ctx.Err() != nil:
+		return nil, from, ctx.Err() //nolint:wrapcheck // the follower ends
+	case missed:
+		return r.read(ctx, from, wait, false)
+	default:
+		r.Alone(from)
+		return r.read(ctx, from, 0, true)
+	}
+}
+
+// read reads on from the store itself, and passes on what it read if asked to.
+func (r *Relay[T]) read(ctx context.Context, from int64, wait time.Duration, share bool) ([]Update[T], int64, error) {
 	began := time.Now()
 	more, next, err := r.Source.Next(ctx, from, wait)
 	if err != nil {
--- a/internal/plat/feed/relay_test.go
+++ b/internal/plat/feed/relay_test.go
@@ -24,23 +24,25 @@
 	lost  bool // posts don't arrive
 }
 
+// relay is a VM that reads for nobody, waits a second for posts, and asks nobody.
+func relay(src feed.Source[int]) *feed.Relay[int] {
+	return (&feed.Relay[int]{
+		Source: src, Reads: func() bool { return false }, Same: func(was, is int) bool { return was == is },
+		Patience: func() time.Duration { return time.Second }, Share: func(feed.Post[int]) {}, Alone: func(int64) {},
+		Ask: func() {}, Waits: func(time.Duration) bool { return false },
+	}).Init()
+}
+
 func newPair() *pair {
 	p := &pair{topic: fakes.NewTopic[int](), reads: true}
-	relay := func(reads func() bool, share func(feed.Post[int])) *feed.Relay[int] {
-		r := &feed.Relay[int]{
-			Source: p.topic, Reads: reads, Same: func(was, is int) bool { return was == is }, Patience: func() time.Duration { return time.Second },
-			Ask: func() {}, Alone: func(int64) {}, Waits: func(time.Duration) bool { return false },
-			Share: share,
-		}
-		return r.Init()
-	}
-	p.a = relay(func() bool { return p.reads }, func(x feed.Post[int]) {
+	p.a, p.b = relay(p.topic), relay(p.topic)
+	p.a.Reads = func() bool { return p.reads }
+	p.a.Share = func(x feed.Post[int]) {
 		p.posts++
 		if !p.lost {
 			p.b.Deliver(x)
 		}
-	})
-	p.b = relay(func() bool { return false }, func(feed.Post[int]) {})
+	}
 	return p
 }
 
@@ -110,16 +112,14 @@
 // fresh returns a VM that knows nothing and asks another for its copy of the topic; the
 // answer comes after a while.
 func fresh(p *pair, answers time.Duration, waits func(time.Duration) bool) *feed.Relay[int] {
-	r := &feed.Relay[int]{
-		Source: p.topic, Reads: func() bool { return false }, Same: func(was, is int) bool { return was == is }, Patience: func() time.Duration { return time.Second },
-		Alone: func(int64) {}, Waits: waits, Share: func(feed.Post[int]) {},
-	}
+	r := relay(p.topic)
+	r.Waits = waits
 	r.Ask = func() {
 		if c, ok := p.a.Copy(); ok {
 			time.AfterFunc(answers, func() { r.Deliver(c) })
 		}
 	}
-	return r.Init()
+	return r
 }
 
 // Symptom: a VM that starts while the store is away refuses all callers. Sequence: the
@@ -141,11 +141,53 @@
 		is.NoErr(err)
 		is.Equal(all, []feed.Update[int]{{Key: "k", Value: 1}})
 		is.Equal(at, from)
-		p.topic.Down(false)
+	})
+}
+
+// Symptom: a VM that has just started goes by a configuration that was replaced seconds
+// ago. Sequence: it takes the copy of a neighbour that has not heard of the change yet, then
+// waits for the next post. Cause: what was late at the neighbour becomes later here.
+func TestCopyIsHeldAgainstTheStoreAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := newPair()
+		p.topic.Put("k", 1)
+		_, _, err := p.a.Newest(t.Context())
+		is.NoErr(err)
 		p.topic.Put("k", 2)
-		more, _, err := r.Next(t.Context(), at, 0)
+		r := fresh(p, 2*time.Millisecond, func(time.Duration) bool { return true })
+		all, at, err := r.Newest(t.Context())
+		is.NoErr(err)
+		is.Equal(all, []feed.Update[int]{{Key: "k", Value: 1}})
+		began := time.Now()
+		more, at, err := r.Next(t.Context(), at, 900*time.Millisecond)
+		is.NoErr(err)
+		is.Equal(more, []feed.Update[int]{{Key: "k", Value: 2}})
+		is.Equal(time.Since(began), time.Duration(0))
+		_, _, err = r.Next(t.Context(), at, 900*time.Millisecond)
+		is.NoErr(err)
+		is.Equal(time.Since(began), time.Second) // then it waits for posts, as others do
+	})
+}
+
+// Symptom: a VM that started while it alone can't reach the store learns of no change.
+// Sequence: it took a neighbour's copy, and holds it against the store in vain; posts come.
+// Cause: it does nothing else until the store answers.
+func TestCopyIsFollowedByPostsWhileTheStoreIsAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := newPair()
+		p.topic.Put("k", 1)
+		_, from, err := p.a.Newest(t.Context())
+		is.NoErr(err)
+		r := fresh(p, 0, func(time.Duration) bool { return true })
+		_, at, err := r.Newest(t.Context())
 		is.NoErr(err)
-		is.Equal(more, []feed.Update[int]{{Key: "k", Value: 2}}) // it goes on from there
+		p.topic.Down(true)
+		r.Deliver(feed.Post[int]{From: from, To: from + 1, All: []feed.Update[int]{{Key: "k", Value: 2}}})
+		more, _, err := r.Next(t.Context(), at, 900*time.Millisecond)
+		is.NoErr(err)
+		is.Equal(more, []feed.Update[int]{{Key: "k", Value: 2}})
 	})
 }
 
@@ -197,18 +239,17 @@
 	all := make([]*feed.Relay[int], vms)
 	var wg sync.WaitGroup
 	for i := range all {
-		all[i] = (&feed.Relay[int]{
-			Source: src, Reads: func() bool { return i == 0 }, Same: func(was, is int) bool { return was == is },
-			Patience: func() time.Duration { return time.Second + time.Duration(min(i, 10))*50*time.Millisecond },
-			Ask:      func() {}, Alone: func(int64) {}, Waits: func(time.Duration) bool { return false },
-			Share: func(p feed.Post[int]) {
-				for k, o := range all {
-					if k != i {
-						o.Deliver(p)
-					}
+		r := relay(src)
+		r.Reads = func() bool { return i == 0 }
+		r.Patience = func() time.Duration { return time.Second + time.Duration(min(i, 10))*50*time.Millisecond }
+		r.Share = func(p feed.Post[int]) {
+			for k, o := range all {
+				if k != i {
+					o.Deliver(p)
 				}
-			},
-		}).Init()
+			}
+		}
+		all[i] = r
 	}
 	for i, r := range all {
 		if i == 0 && silent {
--- a/internal/task/owner/admit.go
+++ b/internal/task/owner/admit.go
@@ -191,6 +191,6 @@
 // make others late that would be in time. It is refused as soon as that is known.
 func (b *Book) crowded(now time.Time) bool { return b.pressure(now, ranks) >= full }
 
-// full is the part of the pool from which on late jobs are refused: 0.709 earned in a burst
-// of 2.5 times, 0.705 at 0.85, 0.692 at 1.2, and 0.661 if they wait for what stays idle.
+// full is the part of the pool from which on late jobs are refused: 0.70 earned in a burst of
+// 2.5 times, and 0.66 if they wait for what stays idle.
 const full = 1.0
--- a/internal/tool/grid/bound.go
+++ b/internal/tool/grid/bound.go
@@ -22,11 +22,7 @@
 	}
 	var jobs []*Result
 	all, last := 0.0, 0
-	for i := range g.results {
-		r := &g.results[i]
-		if r.At < from || r.At >= to {
-			continue
-		}
+	for r := range g.sent(every, from, to) {
 		jobs = append(jobs, r)
 		all += g.worth(r)
 		last = max(last, r.due(from))
--- a/internal/tool/grid/fault_test.go
+++ b/internal/tool/grid/fault_test.go
@@ -23,14 +23,23 @@
 	return set
 }
 
+// cutOff isolates a failure domain for a while.
+func cutOff(span time.Duration) func(*Grid) {
+	return func(g *Grid) {
+		g.Isolate("fd-c", true)
+		time.Sleep(span)
+		g.Isolate("fd-c", false)
+	}
+}
+
 // Symptom: for seconds after one VM dies a quarter of all jobs fail. Sequence: the owner
 // of a failure domain's endpoints is killed. Cause: nobody takes its endpoints over.
 func TestOwnerKilled(t *testing.T) {
 	is := is.New(t)
 	g := play(t, faulty(func(g *Grid) { g.Kill(g.Owner("fd-b")) }))
 	report(t, g, hit-time.Second, hit+2*time.Second)
-	is.True(g.Counts(-1, hit-time.Second, hit+2*time.Second).Share() >= 0.85)
-	is.True(g.Counts(-1, hit+2*time.Second, hit+8*time.Second).Share() >= 0.97)
+	is.True(g.Counts(every, hit-time.Second, hit+2*time.Second).Share() >= 0.85)
+	is.True(g.Counts(every, hit+2*time.Second, hit+8*time.Second).Share() >= 0.97)
 	is.True(g.Owner("fd-b") == nil) // all VMs have ended by now
 }
 
@@ -41,7 +50,7 @@
 	is := is.New(t)
 	g := play(t, faulty(func(g *Grid) { g.Pause(g.Owner("fd-a"), 4*time.Second) }))
 	report(t, g, hit-time.Second, hit+5*time.Second)
-	is.True(g.Counts(-1, hit+6*time.Second, hit+10*time.Second).Share() >= 0.95)
+	is.True(g.Counts(every, hit+6*time.Second, hit+10*time.Second).Share() >= 0.95)
 }
 
 // Symptom: after a power loss of all VMs jobs are refused for seconds. Sequence: all VMs
@@ -54,13 +63,14 @@
 	const down = time.Second
 	g := play(t, faulty(func(g *Grid) { g.KillAll(down) }))
 	report(t, g, hit, hit+down+2*time.Second)
-	is.True(g.Counts(-1, hit+down+1500*time.Millisecond, hit+10*time.Second).Share() >= 0.95)
+	is.True(g.Counts(every, hit+down+1500*time.Millisecond, hit+10*time.Second).Share() >= 0.95)
 }
 
 // Symptom: callers are cut off by a planned replacement. Sequence: all VMs leave and
 // start again, one after the other. Cause: endpoints are dropped with what runs there, or
 // jobs of a VM that left are forgotten.
 func TestRollingReplacement(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	set := Users(110)
 	set.Span = 30 * time.Second
@@ -69,7 +79,7 @@
 	}
 	g := play(t, set)
 	report(t, g, hit, hit+25*time.Second)
-	c := g.Counts(-1, hit, hit+25*time.Second)
+	c := g.Counts(every, hit, hit+25*time.Second)
 	is.True(c.Failed <= c.Asked/200)
 	is.True(c.Share() >= 0.93)
 }
@@ -80,14 +90,10 @@
 func TestDomainCutOff(t *testing.T) {
 	is := is.New(t)
 	const span = 6 * time.Second
-	g := play(t, faulty(func(g *Grid) {
-		g.Isolate("fd-c", true)
-		time.Sleep(span)
-		g.Isolate("fd-c", false)
-	}))
+	g := play(t, faulty(cutOff(span)))
 	report(t, g, hit, hit+span)
-	is.True(g.Counts(-1, hit+2*time.Second, hit+span).Share() >= 0.9)
-	is.True(g.Counts(-1, hit+span+3*time.Second, hit+10*time.Second).Share() >= 0.95)
+	is.True(g.Counts(every, hit+2*time.Second, hit+span).Share() >= 0.9)
+	is.True(g.Counts(every, hit+span+3*time.Second, hit+10*time.Second).Share() >= 0.95)
 }
 
 // Symptom: when a partition heals, jobs fail on both sides. Sequence: each side has
@@ -97,13 +103,9 @@
 func TestHealedPartitionTakesNothingAway(t *testing.T) {
 	is := is.New(t)
 	const span = 5 * time.Second
-	g := play(t, faulty(func(g *Grid) {
-		g.Isolate("fd-c", true)
-		time.Sleep(span)
-		g.Isolate("fd-c", false)
-	}))
+	g := play(t, faulty(cutOff(span)))
 	report(t, g, hit+span-time.Second, hit+span+1500*time.Millisecond)
-	is.True(g.Counts(-1, hit+span-time.Second, hit+span+1500*time.Millisecond).Failed == 0)
+	is.True(g.Counts(every, hit+span-time.Second, hit+span+1500*time.Millisecond).Failed == 0)
 }
 
 // Symptom: jobs fail while the store is away. Sequence: no VM reaches the store for five
@@ -119,7 +121,7 @@
 			g.Away(domainName(i), false)
 		}
 	}))
-	is.True(g.Counts(-1, hit, hit+8*time.Second).Share() >= 0.98)
+	is.True(g.Counts(every, hit, hit+8*time.Second).Share() >= 0.98)
 }
 
 // Symptom: a VM that starts while the store is away refuses its callers until the store is
@@ -144,7 +146,7 @@
 		}
 	}))
 	is.True(ready && knows)
-	is.True(g.Counts(-1, hit+3*time.Second, hit+6*time.Second).Share() >= 0.97)
+	is.True(g.Counts(every, hit+3*time.Second, hit+6*time.Second).Share() >= 0.97)
 }
 
 // Symptom: short jobs are late while a few orders are lost, and nothing is served while
@@ -155,6 +157,7 @@
 // ms with the same number, and shorter renewals after a loss: 0.78 to 0.99 of the jobs in
 // aim with one order in eighteen lost, 0.01 to 0.57 with one in two.
 func TestOrdersCarriedOutLate(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct{ lost, share float64 }{{0.055, 0.96}, {0.5, 0.5}} {
 		t.Run(fmt.Sprint(c.lost), func(t *testing.T) {
 			is := is.New(t)
@@ -164,7 +167,7 @@
 				}
 			}))
 			report(t, g, hit, hit+8*time.Second)
-			is.True(g.Counts(-1, hit, hit+8*time.Second).Share() >= c.share)
+			is.True(g.Counts(every, hit, hit+8*time.Second).Share() >= c.share)
 		})
 	}
 }
@@ -172,6 +175,7 @@
 // Symptom: a few bad endpoints fail a large part of all jobs. Sequence: five of 48
 // misbehave for six seconds. Cause: they are free most often and draw the most work.
 func TestBadEndpoints(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct {
 		name    string
 		manners fakes.Manners
@@ -195,7 +199,7 @@
 				}
 			}))
 			report(t, g, hit, hit+6*time.Second)
-			is.True(g.Counts(-1, hit, hit+6*time.Second).Share() >= c.share)
+			is.True(g.Counts(every, hit, hit+6*time.Second).Share() >= c.share)
 		})
 	}
 }
@@ -225,7 +229,7 @@
 		}
 	}))
 	report(t, g, hit, hit+6*time.Second)
-	is.True(g.Counts(-1, hit, hit+6*time.Second).Share() >= 0.93)
+	is.True(g.Counts(every, hit, hit+6*time.Second).Share() >= 0.93)
 }
 
 // Symptom: a caller on an open connection to a VM that leaves waits and is cut off.
--- a/internal/tool/grid/load_test.go
+++ b/internal/tool/grid/load_test.go
@@ -39,6 +39,7 @@
 // those behind it late too. Admission by the wait that the objective leaves: 449 instead
 // of 296 of 650 in aim in the first two seconds of such a burst.
 func TestBurstOfAllKindsIsServedInTimeOrRefusedEarly(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	from, to := 4*time.Second, 8*time.Second
 	var all, first, after Count
@@ -49,9 +50,9 @@
 		set.Rate = burst(2.5, from, to, urgent, long, plain)
 		g := play(t, set)
 		report(t, g, from, to)
-		all.Add(g.Counts(-1, from, to))
+		all.Add(g.Counts(every, from, to))
 		first.Add(g.Counts(urgent, from, to))
-		after.Add(g.Counts(-1, to+time.Second, to+3*time.Second))
+		after.Add(g.Counts(every, to+time.Second, to+3*time.Second))
 		earned += g.Earned(from, to) / plays
 		// Work can be put off until after the burst: what comes then counts too.
 		whole += g.Earned(from, to+afterwards) / plays
@@ -70,8 +71,9 @@
 // Symptom: with a fifth more work than the endpoints can do, a quarter of its worth is lost.
 // Sequence: this load for twelve seconds. Cause: jobs that will be late are begun in what
 // is free for a moment, and hold places for up to a second that jobs in time then miss. If
-// they are refused while more comes than can be done, 0.82 instead of 0.77 is earned.
+// they are refused while more comes than can be done, 0.84 instead of 0.77 is earned.
 func TestLateJobsDisplaceNoneInTime(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	earned := 0.0
 	var all Count
@@ -80,7 +82,7 @@
 		set.Seed = seed + 1
 		g := play(t, set)
 		earned += g.Earned(set.Warm, set.Warm+set.Span) / plays
-		all.Add(g.Counts(-1, set.Warm, set.Warm+set.Span))
+		all.Add(g.Counts(every, set.Warm, set.Warm+set.Span))
 	}
 	t.Logf("earned %.3f, %+v", earned, all)
 	is.True(earned >= 0.80)
@@ -97,12 +99,13 @@
 	g := play(t, set)
 	report(t, g, from, to)
 	is.True(g.Counts(urgent, from, to).Share() >= 0.93)
-	is.True(g.Counts(-1, from, to).Share() >= 0.85)
+	is.True(g.Counts(every, from, to).Share() >= 0.85)
 }
 
 // Symptom: callers that are refused all come back at once and are refused again.
 // Sequence: a burst; each refusal names a time. Cause: the same time for all.
 func TestTimesToComeBackAreSpread(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	set := Users(120)
 	set.Rate = burst(3, 4*time.Second, 6*time.Second, urgent, long, plain)
--- a/internal/tool/grid/random_test.go
+++ b/internal/tool/grid/random_test.go
@@ -25,7 +25,7 @@
 		set.Faults, names = Random(s, set.Span)
 		t.Run(fmt.Sprint(s), func(t *testing.T) {
 			g := play(t, set)
-			c := g.Counts(-1, 0, time.Hour)
+			c := g.Counts(every, 0, time.Hour)
 			t.Logf("%s%+v", names, c)
 		})
 	}
--- a/internal/tool/grid/scale_test.go
+++ b/internal/tool/grid/scale_test.go
@@ -23,6 +23,7 @@
 // again with each heartbeat. One VM of a failure domain reads for all: 8.9, 9.0 and 9.3
 // calls a second at 8, 24 and 72 VMs to 4.9, 2.9 and 2.1.
 func TestControlOfOneVMGrowsSlowly(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	type cost struct{ casts, calls float64 }
 	costs := map[int]cost{}
@@ -33,7 +34,7 @@
 		g := play(t, set)
 		over := (set.Warm + set.Span).Seconds() * float64(vms)
 		costs[vms] = cost{float64(g.Casts.Load()) / over, float64(g.StoreCalls.Load()) / over}
-		all := g.Counts(-1, set.Warm, set.Warm+set.Span)
+		all := g.Counts(every, set.Warm, set.Warm+set.Span)
 		t.Logf("%d VMs: %.0f messages and %.2f calls to the store a second each, %d owners, %.3f in aim", vms, costs[vms].casts, costs[vms].calls, owners, all.Share())
 		is.True(all.Share() >= 0.97)
 		is.True(owners >= 6*vms/32) // about 24 endpoints each, however many a domain has
@@ -51,6 +52,7 @@
 // cold start, but for VMs that begin before half of the others are listed, and none when
 // others live: 72 records of each endpoint to 35 at a cold start, 43 to 3 at 43 restarts.
 func TestStartsOfManyReadLittleOfTheStore(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	const vms = 72
 	set := grown(vms)
@@ -70,7 +72,7 @@
 	}
 	g := play(t, set)
 	endpoints := float64(set.Endpoints)
-	later := g.Counts(-1, set.Warm+5*time.Second, set.Warm+set.Span)
+	later := g.Counts(every, set.Warm+5*time.Second, set.Warm+set.Span)
 	t.Logf("records for each endpoint: %.1f at the start, %.1f at 43 restarts; %.3f in aim afterwards", float64(cold)/endpoints, float64(after-before)/endpoints, later.Share())
 	is.True(float64(cold) <= 50*endpoints)
 	is.True(float64(after-before) <= 8*endpoints)
@@ -83,6 +85,7 @@
 // group, each hears of the other by the endpoints' fences alone, and claims again. Each
 // leaves a group alone for longer after every such loss.
 func TestEndpointsOfALostDomainGetOneOwnerAmongMany(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	set := grown(96)
 	set.Span = 14 * time.Second
@@ -106,10 +109,10 @@
 	g := play(t, set)
 	for s := range 6 {
 		at := lost + time.Duration(2*s)*time.Second
-		t.Logf("%s after the loss: %+v", at-lost, g.Counts(-1, at, at+2*time.Second))
+		t.Logf("%s after the loss: %+v", at-lost, g.Counts(every, at, at+2*time.Second))
 	}
 	t.Logf("groups dropped: %d within 8 s, %d in the next 5", early, late-early)
-	last := g.Counts(-1, lost+8*time.Second, lost+13*time.Second)
+	last := g.Counts(every, lost+8*time.Second, lost+13*time.Second)
 	is.True(served)
 	is.True(last.Share() >= 0.97)
 	is.True(float64(last.Failed) <= 0.01*float64(last.Asked))
--- a/internal/tool/grid/trial_test.go
+++ b/internal/tool/grid/trial_test.go
@@ -72,7 +72,7 @@
 		each(t, set, func(g *Grid, part float64) {
 			got += part * g.Earned(from, to)
 			most += part * g.Bound(from, to, 1)
-			n.Add(g.Counts(-1, from, to))
+			n.Add(g.Counts(every, from, to))
 			for k := range took {
 				h := g.Times(k, from, to)
 				if took[k] != nil {
@@ -119,7 +119,7 @@
 		{"burst of 2.5, plain alone", func() Setup { return rated(burst(2.5, hit, hit+4*time.Second, plain)) }},
 		{"an owner killed", func() Setup { return faulty(func(g *Grid) { g.Restart(g.Owner("fd-a"), time.Second) }) }},
 		{"all killed", func() Setup { return faulty(func(g *Grid) { g.KillAll(600 * time.Millisecond) }) }},
-		{"a domain cut off", func() Setup { return faulty(cutOff) }},
+		{"a domain cut off", func() Setup { return faulty(cutOff(3 * time.Second)) }},
 		{"an owner paused", func() Setup { return faulty(func(g *Grid) { g.Pause(g.Owner("fd-a"), 3*time.Second) }) }},
 		{"a rack lost", func() Setup { return faulty(rackLost) }},
 	}
@@ -176,12 +176,6 @@
 	return set
 }
 
-func cutOff(g *Grid) {
-	g.Isolate("fd-c", true)
-	time.Sleep(3 * time.Second)
-	g.Isolate("fd-c", false)
-}
-
 // rackLost crashes six endpoints of which the list is told four seconds later.
 func rackLost(g *Grid) {
 	for n := range 6 {
