--- a/internal/task/owner/admit.go
+++ b/internal/task/owner/admit.go
@@ -186,10 +186,13 @@
 	return max(d-ran, d/5)
 }
 
-// crowded reports whether more work comes than the pool can do. Then a job that will miss
-// its objective is not begun: what is late is worth little, and the places that it holds
-// make others late that would be in time. It is refused as soon as that is known.
-func (b *Book) crowded(now time.Time) bool { return b.pressure(now, ranks) >= full }
+// crowded reports whether more work comes than the pool can do while jobs in time wait. Then
+// a job that will miss its objective is not begun: what is late is worth little, and the
+// places that it holds make others late that would be in time. It is refused as soon as
+// that is known.
+func (b *Book) crowded(now time.Time) bool {
+	return b.pressure(now, ranks) >= full && slices.ContainsFunc(b.queue, func(e *entry) bool { return !e.late })
+}
 
 // full is the part of the pool from which on late jobs are refused: 0.70 earned in a burst of
 // 2.5 times, and 0.66 if they wait for what stays idle.
--- a/internal/task/owner/owner_test.go
+++ b/internal/task/owner/owner_test.go
@@ -292,6 +292,25 @@
 	is.True(told[0].Answer.Retry > 0)
 }
 
+// Symptom: on a quiet day a job is refused though nobody else waits. Sequence: jobs too wide
+// to be done in time are refused; the next would be a little late. Cause: work that was
+// turned away counts as pressure, and there is nobody whom the late job could hold up.
+func TestLateJobIsTakenWhileNobodyInTimeWaits(t *testing.T) {
+	is := is.New(t)
+	b := bench(64)
+	for _, id := range []string{"a1", "a2"} {
+		b.Submit(t0, key(uint64(id[1])), of(id, 0, tasks(1, 27, 300*time.Millisecond)))
+	}
+	begin(b, t0, b.Take().Starts)
+	then := t0.Add(195 * time.Millisecond)
+	for n := range uint64(3) {
+		b.Submit(then, key(20+n), of("w"+string(rune('a'+n)), 0, tasks(8, 27, 100*time.Millisecond)))
+	}
+	is.Equal(len(b.Take().Tells), 3) // refused
+	b.Submit(then, key(9), of("l1", 1, tasks(1, 27, 100*time.Millisecond)))
+	is.Equal(len(b.Take().Tells), 0)
+}
+
 // Symptom: a caller hears that its job was given up only when most of its time is over.
 // Sequence: a job is taken, waits, and can't be in time any more while the load is over
 // what can be done. Cause: it is held for as long as an answer is of any use.
