Ready as soon as the endpoints are known; first dials are shorter

Two dials of 0.1 s held the first claims up by as much. Change: a VM that knows configuration and endpoints is ready in its first 1.5 s, in which jobs wait for owners; dials wait 60 ms at first.

--- a/internal/edge/serve/node.go
+++ b/internal/edge/serve/node.go
@@ -162,7 +162,11 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.table.Known(d.now()) > 0
+	now := d.now()
+	// After a loss of all VMs nobody owns endpoints for some tenths of a second. Callers are
+	// better off here, where their jobs wait for owners, than at a machine without power, to
+	// which the balancer sends them while no VM is ready.
+	return d.table.Known(now) > 0 || (d.listed && now.Sub(d.began) < joinFor)
 }
 
 // jump handles a pause of this VM: peers' silence was ours, and they have given up the
--- a/internal/mesh/link/hub.go
+++ b/internal/mesh/link/hub.go
@@ -23,10 +23,10 @@
 	// dialLeast and dialMost bound a dial. They are short, since one that began while the path
 	// was cut is not answered after it heals: the first packet is sent again only a second
 	// later. The bound doubles from the second dial without an answer on.
-	dialLeast = 100 * time.Millisecond
+	dialLeast = 60 * time.Millisecond
 	dialMost  = 500 * time.Millisecond
 	// mostSilent is up to how many dials without an answer are counted: enough for dialMost.
-	mostSilent = 4
+	mostSilent = 5
 	// absentAfter is how many dials in a row without an answer show that a machine is not
 	// there: a lost packet is one.
 	absentAfter = 2
