Entries of other writers name no endpoint; dead endpoints are not taken over again

Endpoints of pools that no queue uses are left alone. An id at whose address another life answers stays dead while it is listed.

--- a/internal/conf/plan/plan.go
+++ b/internal/conf/plan/plan.go
@@ -3,6 +3,7 @@
 package plan
 
 import (
+	"slices"
 	"strings"
 	"time"
 )
@@ -30,6 +31,11 @@
 	Idle    time.Duration // how long an idle connection of a caller is kept
 }
 
+// Uses reports whether a queue's jobs run on a pool's endpoints.
+func (p *Plan) Uses(pool string) bool {
+	return slices.ContainsFunc(p.Queues, func(q Queue) bool { return q.Pool == pool })
+}
+
 // Find returns the queue with the longest prefix of a path, or nil.
 func (p *Plan) Find(host, path string) (best *Queue) {
 	for i := range p.Queues {
--- a/internal/edge/serve/follow.go
+++ b/internal/edge/serve/follow.go
@@ -1,6 +1,7 @@
 package serve
 
 import (
+	"maps"
 	"time"
 
 	"dahliawinch/internal/conf/plan"
@@ -94,6 +95,7 @@
 				d.miss(now, id)
 			}
 		}
+		maps.DeleteFunc(d.roster.dead, func(id string, _ bool) bool { return !seen[id] })
 		d.listed = true
 	}
 	d.perform()
--- a/internal/edge/serve/own.go
+++ b/internal/edge/serve/own.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"dahliawinch/internal/conf/plan"
 	"dahliawinch/internal/mesh/claim"
 	"dahliawinch/internal/mesh/frame"
 	"dahliawinch/internal/mesh/link"
@@ -90,7 +91,8 @@
 
 // decide takes and gives groups of endpoints.
 func (d *Node) decide(now time.Time) {
-	if !d.listed {
+	p := d.plan.Load()
+	if !d.listed || p == nil {
 		return
 	}
 	peers := d.peers(now)
@@ -106,7 +108,7 @@
 	}
 	held := held(peers)
 	for _, g := range d.claims.Groups() {
-		d.tend(now, g, held)
+		d.tend(now, g, held, p)
 	}
 }
 
@@ -167,7 +169,8 @@
 }
 
 // tend makes the book follow a claim: own what is listed, give what is given.
-func (d *Node) tend(now time.Time, g claim.Group, held map[string]bool) {
+// An endpoint of a pool that no queue uses is left alone: its entry may be another writer's.
+func (d *Node) tend(now time.Time, g claim.Group, held map[string]bool, p *plan.Plan) {
 	o := d.claims.Owns(g)
 	left := false
 	for id := range d.roster.groups[g] {
@@ -175,7 +178,7 @@
 		case o.Giving:
 			d.book.Give(id)
 			left = left || d.book.Owned(id)
-		case !held[id] && !d.book.Owned(id):
+		case !held[id] && !d.book.Owned(id) && p.Uses(d.roster.all[id].Pool):
 			d.book.Own(d.roster.all[id], o.Fence)
 		}
 	}
@@ -212,10 +215,13 @@
 	delete(d.reached, g)
 }
 
-// fenced takes in that an endpoint obeys another VM; the caller holds the lock. An owner
-// of the own domain hears of the other's claim; one of another domain's group may not be
+// denied takes in that an endpoint obeys another VM, or that another life answers at its
+// address; the caller holds the lock. An owner of the own domain hears of the other's claim; one of another domain's group may not be
 // linked to it, and would fight for the group without end.
-func (d *Node) fenced(why agent.Refusal, ep *lease.Endpoint, fence uint64) {
+func (d *Node) denied(why agent.Refusal, ep *lease.Endpoint, fence uint64) {
+	if why == agent.Dead {
+		d.roster.bury(ep.ID)
+	}
 	if why != agent.Fenced {
 		return
 	}
--- a/internal/edge/serve/perform.go
+++ b/internal/edge/serve/perform.go
@@ -95,7 +95,7 @@
 	d.book.Ordered(d.now(), s, silent, err)
 	var refused *agent.RefusedError
 	if errors.As(err, &refused) {
-		d.fenced(refused.Why, s.At, s.Fence)
+		d.denied(refused.Why, s.At, s.Fence)
 	}
 	d.perform()
 }
@@ -136,7 +136,7 @@
 		if errors.As(err, &refused) && (refused.Why == agent.Fenced || refused.Why == agent.Dead) {
 			d.mu.Lock()
 			d.book.Lose(d.now(), s.At.ID, refused.Why == agent.Dead, "it refused a stop: "+refused.Why.String())
-			d.fenced(refused.Why, s.At, s.Fence)
+			d.denied(refused.Why, s.At, s.Fence)
 			d.perform()
 			d.mu.Unlock()
 			return
@@ -246,7 +246,7 @@
 		d.book.Renewed(now, sent, ep, r)
 	case errors.As(err, &refused) && (refused.Why == agent.Fenced || refused.Why == agent.Dead):
 		d.book.Lose(now, ep.ID, refused.Why == agent.Dead, "it refused a renewal: "+refused.Why.String())
-		d.fenced(refused.Why, ep, o.Fence)
+		d.denied(refused.Why, ep, o.Fence)
 	default:
 		if !ep.Silent {
 			d.lossy = now.Add(lossyFor)
--- a/internal/edge/serve/relay.go
+++ b/internal/edge/serve/relay.go
@@ -106,8 +106,7 @@
 	m := &frame.Listed{From: p.From, To: p.To, Whole: p.Whole}
 	for _, u := range p.All {
 		switch {
-		case u.Err != nil:
-		case u.Gone:
+		case u.Gone, u.Err != nil:
 			m.Gone = append(m.Gone, u.Key)
 		default:
 			m.All = append(m.All, u.Value)
--- a/internal/edge/serve/roster.go
+++ b/internal/edge/serve/roster.go
@@ -22,10 +22,11 @@
 	all    map[string]lease.Info
 	groups map[claim.Group]map[string]bool // the endpoints of each
 	sizes  map[string]int                  // endpoints of each failure domain
+	dead   map[string]bool                 // listed, but another life answers at their address
 }
 
 func newRoster() *roster {
-	return &roster{all: map[string]lease.Info{}, groups: map[claim.Group]map[string]bool{}, sizes: map[string]int{}}
+	return &roster{all: map[string]lease.Info{}, groups: map[claim.Group]map[string]bool{}, sizes: map[string]int{}, dead: map[string]bool{}}
 }
 
 // groupOf is the group of an endpoint.
@@ -33,7 +34,22 @@
 	return claim.Group{Domain: in.Domain, Shard: uint8(xxhash.Sum64String(in.ID) % shards)}
 }
 
+// bury drops an endpoint at whose address another life answers. What goes wrong without it: its
+// entry stays listed for seconds after a restart, and its owner takes it over and loses it again
+// with each heartbeat.
+func (r *roster) bury(id string) {
+	if _, ok := r.all[id]; ok {
+		r.remove(id)
+		r.dead[id] = true
+	}
+}
+
+// put takes a listed endpoint in. An id names one life, so one that is dead stays so while it
+// is listed.
 func (r *roster) put(in lease.Info) {
+	if r.dead[in.ID] {
+		return
+	}
 	if old, ok := r.all[in.ID]; ok && old.Domain != in.Domain {
 		r.remove(in.ID)
 	}
@@ -49,6 +65,7 @@
 }
 
 func (r *roster) remove(id string) {
+	delete(r.dead, id)
 	in, ok := r.all[id]
 	if !ok {
 		return
--- a/internal/edge/serve/roster_test.go
+++ b/internal/edge/serve/roster_test.go
@@ -50,3 +50,21 @@
 		is.Equal(len(units), want)
 	}
 }
+
+// Symptom: after endpoints were restarted their owner takes each over and loses it again, ten times
+// a second, for seconds. Sequence: the endpoint answers as another life; its old entry is listed
+// until it runs out, and written anew by a copy of the list. Cause: what is listed is owned.
+func TestDeadEndpointStaysDeadWhileItIsListed(t *testing.T) {
+	is := is.New(t)
+	r := newRoster()
+	in := lease.Info{ID: "i-1", Domain: "a"}
+	r.put(in)
+	r.bury("i-1")
+	r.put(in)
+	is.Equal(len(r.all), 0)
+	is.Equal(r.sizes["a"], 0)
+	r.remove("i-1") // it is no longer listed
+	is.Equal(len(r.dead), 0)
+	r.bury("i-2") // never listed
+	is.Equal(len(r.dead), 0)
+}
--- a/internal/plat/feed/feed.go
+++ b/internal/plat/feed/feed.go
@@ -18,7 +18,7 @@
 	Key   string
 	Value T
 	Gone  bool  // the key was removed
-	Err   error // the record can't be read; what was known of the key stays
+	Err   error // the record can't be read, or says too little to be used
 }
 
 // Source gives the records of one topic, decoded.
@@ -58,12 +58,18 @@
 	Source Source[T]
 	Pace   Pace
 	Log    *slog.Logger
-	// Apply takes updates in; whole says that keys which are missing are gone.
+	// Apply takes updates in; whole says that keys which are missing are gone. A key whose
+	// record is of no use comes as gone.
 	Apply func(updates []Update[T], whole bool)
 	// Heard is called after each good read.
 	Heard func()
+	bad   map[string]string // keys whose records are of no use, and why
 }
 
+// mostBad bounds the keys with useless records that are remembered; beyond it one may be
+// logged again.
+const mostBad = 1024
+
 // Run follows until ctx ends.
 func (f *Follower[T]) Run(ctx context.Context) {
 	var next int64
@@ -118,15 +124,29 @@
 // apply passes on what could be read. One record that can't be must not hold up the
 // others: whoever wrote it goes on writing.
 func (f *Follower[T]) apply(us []Update[T], whole bool) {
-	good := us[:0]
-	for _, u := range us {
-		if u.Err != nil {
-			f.Log.Warn("record unreadable", "feed", f.Name, "key", u.Key, "err", u.Err)
+	for i := range us {
+		u := &us[i]
+		if u.Err == nil {
+			delete(f.bad, u.Key)
 			continue
 		}
-		good = append(good, u)
+		f.warn(u)
+		*u = Update[T]{Key: u.Key, Gone: true}
+	}
+	f.Apply(us, whole)
+}
+
+// warn logs a useless record once, however often it is read or written again.
+func (f *Follower[T]) warn(u *Update[T]) {
+	why := u.Err.Error()
+	if f.bad[u.Key] == why {
+		return
+	}
+	if f.bad == nil || len(f.bad) >= mostBad {
+		f.bad = map[string]string{}
 	}
-	f.Apply(good, whole)
+	f.bad[u.Key] = why
+	f.Log.Warn("record of no use", "feed", f.Name, "key", u.Key, "err", u.Err)
 }
 
 func pause(ctx context.Context, d time.Duration) {
--- a/internal/plat/feed/relay.go
+++ b/internal/plat/feed/relay.go
@@ -232,8 +232,7 @@
 	for _, u := range all {
 		was, known := r.last[u.Key]
 		switch {
-		case u.Err != nil:
-		case u.Gone:
+		case u.Gone, u.Err != nil:
 			delete(r.last, u.Key)
 		case known && r.Same(was, u.Value):
 			continue
