--- a/internal/mesh/link/hub.go
+++ b/internal/mesh/link/hub.go
@@ -21,8 +21,8 @@
 // Times of the links.
 const (
 	// dialLeast and dialMost bound a dial. They are short, since one that began while the path
-	// was cut is not answered after it heals: the first packet is sent again only a second
-	// later. The bound doubles from the second dial without an answer on.
+	// was cut, or the peer had no power, is not answered later: the first packet is sent again
+	// only after a second. The bound doubles from the second dial without an answer on.
 	dialLeast = 60 * time.Millisecond
 	dialMost  = 500 * time.Millisecond
 	// mostSilent is up to how many dials without an answer are counted: enough for dialMost.
@@ -30,9 +30,6 @@
 	// absentAfter is how many dials in a row without an answer show that a machine is not
 	// there: a lost packet is one.
 	absentAfter = 2
-	// spokenWait is what a dial gets that was under way when the peer spoke: both may have
-	// dialled at the same time, and an answer takes a millisecond.
-	spokenWait = 20 * time.Millisecond
 	helloWait  = time.Second
 	writeWait  = time.Second
 	// ackEvery is how often a receiver says how far it has read.
--- a/internal/mesh/link/sender.go
+++ b/internal/mesh/link/sender.go
@@ -145,37 +145,10 @@
 }
 
 // open dials the peer.
-//
-// What goes wrong: after a loss of power VMs start some tenths of a second apart. The dials
-// of the first to the others hang, since the kernel repeats their first packet only after a
-// second, and the others hear nothing of it though they have opened their own links. The peer's
-// word therefore ends a dial that began before it. All VMs of a domain heard each other 0.1 s
-// after the last had started, instead of 0.4 s.
 func (s *sender) open(ctx context.Context) (net.Conn, error) {
-	dctx, cancel := context.WithTimeout(ctx, s.dialWait())
+	ctx, cancel := context.WithTimeout(ctx, s.dialWait())
 	defer cancel()
-	select {
-	case <-s.back: // before this dial
-	default:
-	}
-	up := make(chan struct{})
-	defer close(up)
-	go func() {
-		select {
-		case <-up:
-			return
-		case <-s.back:
-			s.spoken() // it ends the pause after this dial too
-		}
-		t := time.NewTimer(spokenWait)
-		defer t.Stop()
-		select {
-		case <-up:
-		case <-t.C:
-			cancel()
-		}
-	}()
-	c, err := s.h.dial(dctx, s.to)
+	c, err := s.h.dial(ctx, s.to)
 	s.dialed(err)
 	return c, err
 }
