--- a/internal/mesh/link/hub.go
+++ b/internal/mesh/link/hub.go
@@ -30,8 +30,8 @@
 	// absentAfter is how many dials in a row without an answer show that a machine is not
 	// there: a lost packet is one.
 	absentAfter = 2
-	helloWait  = time.Second
-	writeWait  = time.Second
+	helloWait   = time.Second
+	writeWait   = time.Second
 	// ackEvery is how often a receiver says how far it has read.
 	ackEvery = 100 * time.Millisecond
 	// ackIdle is how often while it has read nothing new that must arrive, and ackWrite
