What tasks fill and how many run on an endpoint follow from what they need

Cause (no fitting): 0.84 of the cores as what can be filled and four tasks on an endpoint were figures of deployments with tasks of 27 cores; with tasks of two cores late jobs would be refused while a sixth of the cores is free, and one failure would leave an endpoint of thirty tasks two. Change: both are reckoned from the running mean of what tasks need, memory and accelerators too. Tests: other sizes (1 to 16 VMs, 1 to 500 endpoints, tasks of 1 to 40 cores and 5 ms to 4 s, memory that binds); nothing runs on for VMs that were removed, nor by orders that are carried out late.

--- a/internal/task/owner/admit.go
+++ b/internal/task/owner/admit.go
@@ -61,6 +61,10 @@
 		st := &e.Steps[i]
 		work += float64(st.Count) * st.Need.Cores * b.expect(e.Job, st).Seconds()
 	}
+	b.needs.note(e.Job)
+	if b.needs.moved() {
+		b.keep()
+	}
 	f := &b.inflow[min(e.Rank, ranks-1)]
 	f.rate = f.decayed(now) + work/inflowSpan.Seconds()
 	f.at = now
@@ -75,7 +79,7 @@
 	total, come := 0.0, 0.0
 	for _, s := range b.order {
 		if !s.lost && !s.giving && s.Open() && !b.crawls(s) {
-			total += s.Size.Cores
+			total += b.needs.fill(s.Size)
 		}
 	}
 	for r := range min(rank, ranks) {
@@ -84,12 +88,9 @@
 	if total == 0 {
 		return 0
 	}
-	return come / (total * packed)
+	return come / total
 }
 
-// packed is the part of the cores that tasks can fill: 27 of 64 twice, or of 96 thrice.
-const packed = 0.84
-
 // forecast predicts how long a new job's tasks wait in all, from what runs and what
 // goes before it. It plays the pool as places of the job's own need: each run holds one
 // until its expected end, then the waiting tasks take the earliest.
--- a/internal/task/owner/book.go
+++ b/internal/task/owner/book.go
@@ -57,6 +57,7 @@
 	lost   bool      // another VM took it
 	full   time.Time // gets nothing new until then
 	tried  time.Time // when a run was last started
+	slots  int       // tasks that run here at once
 }
 
 // Config of a book.
@@ -79,6 +80,7 @@
 	nums   map[string]int // run numbers of jobs that ended lately
 	numsAt time.Time
 	inflow [ranks]flow
+	needs  needs
 	acts   Acts
 }
 
--- a/internal/task/owner/pump.go
+++ b/internal/task/owner/pump.go
@@ -11,7 +11,7 @@
 // allowed is how many runs the endpoint's health allows at once.
 func (b *Book) allowed(now time.Time, s *site) int {
 	n := b.health.Limit(now, s.Addr)
-	if n >= healthSlots {
+	if n >= s.slots {
 		return 1 << 20 // healthy: its room decides
 	}
 	return n
--- a/internal/task/owner/sites.go
+++ b/internal/task/owner/sites.go
@@ -31,14 +31,13 @@
 	b.wake(s)
 }
 
-// healthSlots is the scale on which the health book lowers what an endpoint may run
-// at once; endpoints run two to four tasks.
-const healthSlots = 4
-
+// keep tells the health book which endpoints there are and how many tasks each runs at once:
+// the scale on which it lowers that number.
 func (b *Book) keep() {
 	slots := make(map[netip.AddrPort]int, len(b.order))
 	for _, s := range b.order {
-		slots[s.Addr] = healthSlots
+		s.slots = b.needs.slots(s.Size)
+		slots[s.Addr] = s.slots
 	}
 	b.health.Keep(slots)
 }
--- a/internal/tool/grid/fault_test.go
+++ b/internal/tool/grid/fault_test.go
@@ -254,6 +254,36 @@
 	is.True(earned >= 0.9)
 }
 
+// Symptom: tasks of jobs that nobody asks for any more run on for seconds. Sequence: orders are
+// carried out three seconds late, and the VMs that gave them are removed for good meanwhile.
+// Cause: a start that is carried out late is still good, or a lease outlives the VM that renews it.
+func TestNothingRunsOnForVMsThatAreRemoved(t *testing.T) {
+	is := is.New(t)
+	gone := Limits.Hold + Limits.Stop
+	var running []int
+	set := faulty(func(g *Grid) {
+		for i := range 16 {
+			g.Endpoint(3 * i).Set(fakes.Manners{Late: 0.5, Delay: 3 * time.Second})
+		}
+		time.Sleep(500 * time.Millisecond)
+		for i := range g.VMs {
+			g.Kill(g.VM(i))
+		}
+		running = append(running, g.Judge.Running())
+		time.Sleep(gone)
+		for range 12 {
+			running = append(running, g.Judge.Running())
+			time.Sleep(250 * time.Millisecond)
+		}
+	})
+	play(t, set)
+	t.Log(running)
+	is.True(running[0] > 0)
+	for _, n := range running[1:] {
+		is.Equal(n, 0)
+	}
+}
+
 // Symptom: jobs fail when endpoints crash or leave. Sequence: four crash, four announce
 // that they leave and go two seconds later. Cause: their runs are waited for, or new work
 // is sent there.
--- a/internal/tool/grid/load.go
+++ b/internal/tool/grid/load.go
@@ -28,6 +28,9 @@
 	Width int     // mean number of tasks
 	Work  time.Duration
 	Worth float64 // of a job of mean size, answered in time
+	// Cores and Memory are what a task needs in the mean; zero stands for the users' 27 cores and
+	// next to no memory.
+	Cores, Memory float64
 }
 
 // The latency objective of the users' queues: so many times the work, and so much more.
@@ -50,6 +53,13 @@
 	}
 }
 
+func (k Kind) cores() float64 {
+	if k.Cores > 0 {
+		return k.Cores
+	}
+	return meanCores
+}
+
 func (k Kind) queue() plan.Queue {
 	return plan.Queue{Name: k.Name, Host: host, Prefix: "/" + k.Name + "/", Pool: pool, Rank: k.Rank, Attempts: 3, Stretch: stretch, Slack: slack, Timeout: patience}
 }
@@ -134,11 +144,11 @@
 func (g *Grid) draw(r *rand.Rand, kind, n int) (j batch.Job, aim time.Duration, all float64) {
 	k := g.Kinds[kind]
 	width := max(1, int(math.Round(lognormal(r, float64(k.Width), 0.4))))
-	cores := min(41, lognormal(r, meanCores, 0.2))
+	cores := min(1.5*k.cores(), lognormal(r, k.cores(), 0.2))
 	work := lognormal(r, float64(k.Work), 0.4)
 	told := work * lognormal(r, 1, 0.4)
 	j = batch.Job{ID: fmt.Sprintf("%016x", n), Spec: k.Name, Steps: []batch.Step{{
-		Count: width, Need: job.Size{Cores: cores, Memory: 0.0625}, Run: time.Duration(told),
+		Count: width, Need: job.Size{Cores: cores, Memory: max(0.0625, k.Memory)}, Run: time.Duration(told),
 	}}}
 	longest := 0.0
 	for i := range width {
--- a/internal/tool/grid/score.go
+++ b/internal/tool/grid/score.go
@@ -62,7 +62,7 @@
 // worth of a job: three tenths for each of a kind, the rest by its work.
 func (g *Grid) worth(r *Result) float64 {
 	k := g.Kinds[r.Kind]
-	mean := float64(k.Width) * meanCores * k.Work.Seconds()
+	mean := float64(k.Width) * k.cores() * k.Work.Seconds()
 	return k.Worth * min(4, 0.3+0.7*r.Work/mean)
 }
 
