--- a/internal/mesh/link/link_test.go
+++ b/internal/mesh/link/link_test.go
@@ -307,9 +307,9 @@
 func TestMachineThatDoesNotAnswerIsAbsent(t *testing.T) {
 	is := is.New(t)
 	a := start(t, 1, "127.0.0.1:0")
-	dials := 0
+	var dials atomic.Int64
 	a.hub.dial = func(ctx context.Context, _ netip.AddrPort) (net.Conn, error) {
-		dials++
+		dials.Add(1)
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
@@ -317,7 +317,7 @@
 	is.True(!a.hub.Absent(to))
 	speak(t, a, to)
 	eventually(t, "the peer to be absent", func() bool { return a.hub.Absent(to) })
-	is.True(dials >= absentAfter)
+	is.True(dials.Load() >= absentAfter)
 	b, dead := start(t, 1, "127.0.0.1:0"), netip.AddrPort{}
 	t.Run("a process that ends", func(t *testing.T) { dead = start(t, 1, "127.0.0.1:0").at })
 	speak(t, b, dead)
