Posts of the store's readers that wait are taken at once

Cause: while two VMs of a domain read the store for the others, as after a restart, posts come twice as often as they are taken, one for each pause of 0.4 s between two reads; up to 16 wait. Ruled out: a store that answers late, a lost post (a gap is noticed), a dead reader (its silence is). Change: a post is joined with those that came after it; a gap among them counts as missed.

--- a/internal/plat/feed/relay.go
+++ b/internal/plat/feed/relay.go
@@ -220,7 +220,10 @@
 			if p.Whole || p.To < from {
 				continue // older than what was read here
 			}
-			return p, p.From <= from, p.From > from
+			if p.From > from {
+				return p, false, true
+			}
+			return r.join(p)
 		case <-t.C:
 			return p, false, false
 		case <-ctx.Done():
@@ -229,6 +232,29 @@
 	}
 }
 
+// join adds to a post those that came after it; missed says that one in between is missing.
+//
+// What goes wrong without it: while two VMs read for the others, as after a restart, posts come
+// twice as often as they are taken, one for each pause between two reads. Up to mostPosts wait,
+// and what they tell is taken in 3 s late. One notices runs started on endpoints that had said
+// long before that they leave.
+func (r *Relay[T]) join(p Post[T]) (all Post[T], found, missed bool) {
+	for {
+		select {
+		case next := <-r.posts:
+			switch {
+			case next.Whole || next.To < p.To:
+			case next.From > p.To:
+				return p, false, true
+			default:
+				p.All, p.To = append(p.All, next.All...), next.To
+			}
+		default:
+			return p, true, false
+		}
+	}
+}
+
 // news returns what differs from what was known, the last word on each key, and takes
 // note of it, and of the place up to which it goes.
 func (r *Relay[T]) news(all []Update[T], to int64) (news []Update[T]) {
