--- a/internal/tool/grid/scale_test.go
+++ b/internal/tool/grid/scale_test.go
@@ -140,11 +140,15 @@
 	t.Parallel()
 	is := is.New(t)
 	const down = time.Second
-	set := faulty(func(g *Grid) { g.KillAll(down) })
-	set.VMs, set.Again = 40, true
-	g := play(t, set)
-	from := hit + down + bootSpread
-	c := g.Counts(every, from, from+time.Second)
-	t.Logf("%.3f in aim of %+v, %d records read of the store", c.Share(), c, g.Records.Load())
-	is.True(c.Share() >= 0.8)
+	var all Count
+	for seed := range uint64(plays) {
+		set := faulty(func(g *Grid) { g.KillAll(down) })
+		set.VMs, set.Again, set.Seed = 40, true, seed+1
+		g := play(t, set)
+		from := hit + down + bootSpread
+		c := g.Counts(every, from, from+time.Second)
+		t.Logf("%.3f in aim of %+v, %d records read of the store", c.Share(), c, g.Records.Load())
+		all.Add(c)
+	}
+	is.True(all.Share() >= 0.85) // 0.90 to 0.93 measured, and 0.36 in the first play before
 }
