Reads of the store's backlog are bounded; a reader that the store turns away is replaced

A VM that the store had turned away for 9 s asked for all that was added meanwhile; the answer took longer than the call's 0.6 s on its link, was thrown away and asked for again with more. And the VM that reads for its domain stayed its reader while the store turned it away.

Change: a read of the endpoints asks for 64 KB, and for the next at once while there is more; an answer that comes in pieces is waited for; a heartbeat says that the store does not answer, and the next VM reads.

--- a/internal/edge/serve/beat.go
+++ b/internal/edge/serve/beat.go
@@ -95,7 +95,7 @@
 
 // pulse is this VM's heartbeat.
 func (d *Node) pulse(now time.Time) *frame.Beat {
-	return &frame.Beat{At: now, Leaving: d.leaving.Load(), Doubts: d.view.Doubts(now), Power: float32(d.cfg.Power), Claims: d.claimed()}
+	return &frame.Beat{At: now, Leaving: d.leaving.Load(), Doubts: d.view.Doubts(now), Power: float32(d.cfg.Power), Claims: d.claimed(), Storeless: d.storeless.Load()}
 }
 
 // tick looks at deadlines.
--- a/internal/edge/serve/follow.go
+++ b/internal/edge/serve/follow.go
@@ -28,7 +28,7 @@
 func (d *Node) follow() {
 	heard := func() {}
 	plans := &feed.Follower[plan.Plan]{Name: "plan", Source: d.plans, Pace: feed.Pace{Wait: planWait}, Log: d.log, Apply: d.applyPlan, Heard: heard}
-	eps := &feed.Follower[lease.Info]{Name: "endpoints", Source: d.eps, Pace: feed.Pace{Pause: rosterPause}, Log: d.log, Apply: d.applyRoster, Heard: d.settleRoster}
+	eps := &feed.Follower[lease.Info]{Name: "endpoints", Source: d.eps, Pace: feed.Pace{Pause: rosterPause, Most: feed.Portion}, Log: d.log, Apply: d.applyRoster, Heard: d.settleRoster}
 	vms := &feed.Follower[VM]{Name: "vms", Source: d.parts.VMs, Pace: feed.Pace{Pause: vmsPause, Rest: vmsRest, Settle: vmsSettle}, Log: d.log, Apply: d.applyVMs, Heard: heard}
 	d.wg.Go(func() { plans.Run(d.ctx) })
 	d.wg.Go(func() { eps.Run(d.ctx) })
--- a/internal/edge/serve/node.go
+++ b/internal/edge/serve/node.go
@@ -84,6 +84,8 @@
 	plan    atomic.Pointer[plan.Plan]
 	leaving atomic.Bool
 	reading atomic.Bool // the store, for the failure domain
+	// storeless is set while the last call to the store failed.
+	storeless atomic.Bool
 	// named is closed when the entry VMs were read of the store.
 	named     chan struct{}
 	namedOnce sync.Once
--- a/internal/edge/serve/relay.go
+++ b/internal/edge/serve/relay.go
@@ -25,12 +25,12 @@
 // relay prepares the topics that one VM of a failure domain reads for all.
 func (d *Node) relay() {
 	d.plans = (&feed.Relay[plan.Plan]{
-		Source: d.parts.Plans, Reads: d.reads, Share: d.sharePlans, Patience: d.patience(planPatience), Alone: d.alone("plan"),
+		Source: d.parts.Plans, Reads: d.reads, Share: d.sharePlans, Patience: d.patience(planPatience), Alone: d.alone("plan"), Reached: d.storeReached,
 		Same: func(was, is plan.Plan) bool { return was.Version == is.Version },
 		Ask:  func() bool { return d.ask(frame.Ask{Plans: true}) }, Waits: func(time.Duration) bool { return false },
 	}).Init()
 	d.eps = (&feed.Relay[lease.Info]{
-		Source: d.parts.Endpoints, Reads: d.reads, Share: d.shareEndpoints, Patience: d.patience(rosterPatience), Alone: d.alone("endpoints"), Same: lease.Info.Same,
+		Source: d.parts.Endpoints, Reads: d.reads, Share: d.shareEndpoints, Patience: d.patience(rosterPatience), Alone: d.alone("endpoints"), Same: lease.Info.Same, Reached: d.storeReached,
 		Ask: func() bool { return d.ask(frame.Ask{Endpoints: true}) }, Waits: d.waitsForCopy,
 	}).Init()
 }
@@ -54,15 +54,43 @@
 
 // placeAmong is the same among the VMs that are there as far as one believes.
 func (d *Node) placeAmong(there func(*view.Member) bool) (n int) {
-	mine := xxhash.Sum64String(d.cfg.Domain + "|" + d.cfg.VM.String())
+	mine := reader{d.cfg.VM, d.storeless.Load()}
 	for _, m := range d.view.Members() {
-		if m.Domain == d.cfg.Domain && there(m) && xxhash.Sum64String(m.Domain+"|"+m.VM.String()) > mine {
+		if m.Domain == d.cfg.Domain && there(m) && (reader{m.VM, m.Beat.Storeless}).before(mine, d.cfg.Domain) {
 			n++
 		}
 	}
 	return n
 }
 
+// reader is a VM that may read the store for its failure domain.
+type reader struct {
+	vm        netip.AddrPort
+	storeless bool // its last call to the store failed
+}
+
+// before reports whether a VM rather than another one reads.
+//
+// What goes wrong if one that the store turns away goes on as its domain's reader: the others hear
+// nothing for a second, then one of them reads in its place, each time anew; and it hears none of
+// what they read. One notices "no word of the store's reader" in bunches, and orders to endpoints
+// that left long ago.
+func (r reader) before(o reader, domain string) bool {
+	if r.storeless != o.storeless {
+		return o.storeless
+	}
+	return r.weight(domain) > o.weight(domain)
+}
+
+func (r reader) weight(domain string) uint64 { return xxhash.Sum64String(domain + "|" + r.vm.String()) }
+
+// storeReached takes in whether the store answered this VM.
+func (d *Node) storeReached(ok bool) {
+	if d.storeless.Swap(!ok) == ok {
+		d.log.Info("store reached", "by", d.cfg.VM, "ok", ok)
+	}
+}
+
 // awaited reports whether a VM is heard, or may start at the same time as this one.
 func (d *Node) awaited(m *view.Member) bool {
 	return m.State == view.Alive || (m.State == view.Listed && !d.parts.Mesh.Absent(m.VM))
--- a/internal/edge/serve/start_test.go
+++ b/internal/edge/serve/start_test.go
@@ -102,6 +102,6 @@
 }
 
 // Next implements feed.Source.
-func (listedOnce) Next(_ context.Context, from int64, _ time.Duration) ([]feed.Update[lease.Info], int64, error) {
-	return nil, from, nil
+func (listedOnce) Next(_ context.Context, from int64, _ feed.Ask) (feed.Batch[lease.Info], error) {
+	return feed.Batch[lease.Info]{Next: from, End: from}, nil
 }
--- a/internal/mesh/frame/msg.go
+++ b/internal/mesh/frame/msg.go
@@ -60,6 +60,8 @@
 	Use     map[string]Use   `msgpack:"u,omitempty"` // tenants with quotas
 	Claims  []Claim          `msgpack:"c,omitempty"` // groups of leased endpoints owned here
 	Power   float32          `msgpack:"p,omitempty"` // cores that the sender may use
+	// Storeless says that the platform's store does not answer the sender.
+	Storeless bool `msgpack:"n,omitempty"`
 }
 
 // Claim says that a VM owns groups of a failure domain's leased endpoints.
--- a/internal/plat/fakes/topic.go
+++ b/internal/plat/fakes/topic.go
@@ -71,8 +71,22 @@
 	return us, int64(len(t.all)), nil
 }
 
+// RecordBytes is what a record of a stand-in's topic counts for: an endpoint's report takes as
+// much.
+const RecordBytes = 350
+
+// bound is the end of a read from a place that may bring so many bytes.
+func (t *Topic[T]) bound(from int64, bytes int) int64 {
+	end := int64(len(t.all))
+	if bytes <= 0 {
+		return end
+	}
+	return min(end, from+max(1, int64(bytes/RecordBytes)))
+}
+
 // Next implements feed.Source.
-func (t *Topic[T]) Next(ctx context.Context, from int64, wait time.Duration) ([]feed.Update[T], int64, error) {
+func (t *Topic[T]) Next(ctx context.Context, from int64, a feed.Ask) (b feed.Batch[T], err error) {
+	wait := a.Wait
 	ends := time.NewTimer(wait)
 	defer ends.Stop()
 	for {
@@ -80,14 +94,16 @@
 		switch {
 		case t.down:
 			t.mu.Unlock()
-			return nil, from, ErrStore
+			return b, ErrStore
 		case from < t.first:
 			t.mu.Unlock()
-			return nil, from, feed.ErrGone
+			return b, feed.ErrGone
 		case from < int64(len(t.all)) || wait <= 0:
-			us, next := append([]feed.Update[T](nil), t.all[from:]...), int64(len(t.all))
+			b.End = int64(len(t.all))
+			b.Next = t.bound(from, a.Most)
+			b.All = append(b.All, t.all[from:b.Next]...)
 			t.mu.Unlock()
-			return us, next, nil
+			return b, nil
 		}
 		grown := t.grown
 		t.mu.Unlock()
@@ -96,7 +112,7 @@
 		case <-ends.C:
 			wait = 0
 		case <-ctx.Done():
-			return nil, from, ctx.Err() //nolint:wrapcheck // a stand-in
+			return b, ctx.Err() //nolint:wrapcheck // a stand-in
 		}
 	}
 }
--- a/internal/plat/feed/backlog_test.go
+++ b/internal/plat/feed/backlog_test.go
@@ -16,15 +16,15 @@
 	return nil, 0, nil
 }
 
-func (u untouched) Next(context.Context, int64, time.Duration) ([]Update[int], int64, error) {
+func (u untouched) Next(context.Context, int64, Ask) (Batch[int], error) {
 	u.t.Error("the store was read")
-	return nil, 0, nil
+	return Batch[int]{}, nil
 }
 
 func hearer(t *testing.T) *Relay[int] {
 	return (&Relay[int]{
 		Source: untouched{t}, Same: func(a, b int) bool { return a == b },
-		Reads: func() bool { return false }, Patience: func() time.Duration { return time.Second }, Alone: func(int64) {},
+		Reads: func() bool { return false }, Patience: func() time.Duration { return time.Second }, Alone: func(int64) {}, Reached: func(bool) {},
 	}).Init()
 }
 
@@ -40,11 +40,11 @@
 		r.Deliver(p) // of one reader
 		r.Deliver(p) // and of another
 	}
-	us, next, err := r.Next(t.Context(), 0, 0)
+	b, err := r.Next(t.Context(), 0, Ask{})
 	is.NoErr(err)
-	is.Equal(next, int64(5))
-	is.Equal(len(us), 1)
-	is.Equal(us[0].Value, 5)
+	is.Equal(b.Next, int64(5))
+	is.Equal(len(b.All), 1)
+	is.Equal(b.All[0].Value, 5)
 	is.Equal(len(r.posts), 0)
 }
 
--- a/internal/plat/feed/feed.go
+++ b/internal/plat/feed/feed.go
@@ -25,14 +25,38 @@
 type Source[T any] interface {
 	// Newest returns the newest record of each key, and where to read on.
 	Newest(ctx context.Context) (all []Update[T], next int64, err error)
-	// Next returns what was added from a place on, waiting for the first if asked to.
-	Next(ctx context.Context, from int64, wait time.Duration) (more []Update[T], next int64, err error)
+	// Next returns what was added from a place on.
+	Next(ctx context.Context, from int64, a Ask) (Batch[T], error)
 }
 
+// Ask bounds one read of what was added.
+type Ask struct {
+	Wait time.Duration // for the first record
+	Most int           // bytes of records, but for one that is larger
+}
+
+// Batch is what one read brought.
+type Batch[T any] struct {
+	All  []Update[T]
+	Next int64 // where to read on
+	End  int64 // of the topic: there is more if it is beyond Next
+}
+
+// Portion is how much one read of the endpoints asks for, in bytes.
+//
+// What goes wrong without it: a VM that could not reach the store for some seconds asks for all
+// that was added meanwhile. A link of 2 Mbit/s carries 150 KB in the time that a call may take; if
+// there is more, no read ever ends, each takes the whole link from orders and heartbeats, and the
+// backlog grows. One notices a VM that others hear by turns, long after the store is back. A portion
+// takes 0.26 s of such a link. 18 VMs, a third of them turned away by the store for 9 s: worth
+// 0.431 to 0.514 (one played day).
+const Portion = 64 << 10
+
 // Pace says how often a source is read.
 type Pace struct {
 	Wait  time.Duration // how long one read may wait for news
 	Pause time.Duration // between two reads; calls to the store are priced
+	Most  int           // bytes of one read, 0 for no bound
 	// Rest, if set, takes the place of Pause once the source was followed for Settle.
 	Rest, Settle time.Duration
 }
@@ -63,6 +87,7 @@
 	Apply func(updates []Update[T], whole bool)
 	// Heard is called after each good read.
 	Heard func()
+	most  int               // bytes of the next read
 	bad   map[string]string // keys whose records are of no use, and why
 }
 
@@ -73,11 +98,13 @@
 // Run follows until ctx ends.
 func (f *Follower[T]) Run(ctx context.Context) {
 	var next int64
-	known, down := false, false
+	known, more, down := false, false, false
 	back, start := backLeast, time.Now()
+	f.most = f.Pace.Most
 	for ctx.Err() == nil {
 		began := time.Now()
-		err := f.read(ctx, &known, &next)
+		var err error
+		more, err = f.read(ctx, &known, &next)
 		switch {
 		case errors.Is(err, ErrGone):
 			f.Log.Info("store history gone", "feed", f.Name, "from", next)
@@ -96,29 +123,37 @@
 		}
 		down, back = false, backLeast
 		f.Heard()
+		if more {
+			continue
+		}
 		pause(ctx, f.Pace.pause(time.Since(start))-time.Since(began))
 	}
 }
 
-func (f *Follower[T]) read(ctx context.Context, known *bool, next *int64) error {
+// read reads once and reports whether there is more to read at once.
+func (f *Follower[T]) read(ctx context.Context, known *bool, next *int64) (more bool, err error) {
 	if !*known {
 		all, at, err := f.Source.Newest(ctx)
 		if err != nil {
-			return err
+			return false, err
 		}
 		*known, *next = true, at
 		f.apply(all, true)
-		return nil
+		return false, nil
 	}
-	more, at, err := f.Source.Next(ctx, *next, f.Pace.Wait)
+	b, err := f.Source.Next(ctx, *next, Ask{Wait: f.Pace.Wait, Most: f.most})
 	if err != nil {
-		return err
+		return false, err
+	}
+	f.most = f.Pace.Most
+	if b.Next == *next { // a record that is larger than the bound must not hold up the others
+		f.most = 0
 	}
-	*next = at
-	if len(more) > 0 {
-		f.apply(more, false)
+	*next = b.Next
+	if len(b.All) > 0 {
+		f.apply(b.All, false)
 	}
-	return nil
+	return b.Next < b.End, nil
 }
 
 // apply passes on what could be read. One record that can't be must not hold up the
--- a/internal/plat/feed/relay.go
+++ b/internal/plat/feed/relay.go
@@ -42,6 +42,8 @@
 	// Ask asks another VM for its copy of the topic, which comes as a whole post; false if
 	// there is none to ask yet.
 	Ask func() bool
+	// Reached is told of each call to the store whether it was answered.
+	Reached func(ok bool)
 	// Waits reports whether a VM that knows nothing yet waits on for a copy after some time.
 	// What 180 VMs that start at once read of the store is more than it gives in seconds.
 	Waits func(after time.Duration) bool
@@ -100,6 +102,7 @@
 		return r.anew(p.All, p.To), p.To, nil
 	}
 	all, next, err := r.Source.Newest(ctx)
+	r.reached(ctx, err)
 	if err != nil {
 		return nil, 0, err
 	}
@@ -165,49 +168,59 @@
 // What may go wrong: the store slows down, posts come later than the others' patience, all
 // read for themselves, and the store slows down further. So reads for others wait less when
 // answers take longer, and of those whose patience ends the first reads for the rest.
-func (r *Relay[T]) Next(ctx context.Context, from int64, wait time.Duration) ([]Update[T], int64, error) {
+func (r *Relay[T]) Next(ctx context.Context, from int64, a Ask) (Batch[T], error) {
 	if r.copied {
 		// What was late at the VM that gave the copy must not become later here. While the
 		// store is away, posts are heard, and it is asked again after each.
-		more, next, err := r.read(ctx, from, 0, false)
+		b, err := r.read(ctx, from, Ask{Most: a.Most}, false)
 		r.copied = err != nil
 		if err == nil || errors.Is(err, ErrGone) || r.Reads() {
-			return more, next, err
+			return b, err
 		}
 	}
 	if r.Reads() {
-		return r.read(ctx, from, max(0, wait-2*r.late), true)
+		a.Wait = max(0, a.Wait-2*r.late)
+		return r.read(ctx, from, a, true)
 	}
 	p, found, missed := r.hear(ctx, from)
 	switch {
 	case found:
-		return r.news(p.All, p.To), p.To, nil
+		return Batch[T]{All: r.news(p.All, p.To), Next: p.To, End: p.To}, nil
 	case ctx.Err() != nil:
-		return nil, from, ctx.Err() //nolint:wrapcheck // the follower ends
+		return Batch[T]{}, ctx.Err() //nolint:wrapcheck // the follower ends
 	case missed:
-		return r.read(ctx, from, wait, false)
+		return r.read(ctx, from, a, false)
 	default:
 		r.Alone(from)
-		return r.read(ctx, from, 0, true)
+		a.Wait = 0
+		return r.read(ctx, from, a, true)
 	}
 }
 
 // read reads on from the store itself, and passes on what it read if asked to.
-func (r *Relay[T]) read(ctx context.Context, from int64, wait time.Duration, share bool) ([]Update[T], int64, error) {
+func (r *Relay[T]) read(ctx context.Context, from int64, a Ask, share bool) (Batch[T], error) {
 	began := time.Now()
-	more, next, err := r.Source.Next(ctx, from, wait)
+	b, err := r.Source.Next(ctx, from, a)
+	r.reached(ctx, err)
 	if err != nil {
 		if errors.Is(err, ErrGone) {
 			r.least = from + 1
 		}
-		return nil, from, err
+		return Batch[T]{}, err
 	}
-	r.late = max(0, time.Since(began)-wait)
-	news := r.news(more, next)
+	r.late = max(0, time.Since(began)-a.Wait)
+	b.All = r.news(b.All, b.Next)
 	if share {
-		r.Share(Post[T]{From: from, To: next, All: news})
+		r.Share(Post[T]{From: from, To: b.Next, All: b.All})
+	}
+	return b, nil
+}
+
+// reached tells whether the store answered; that history is gone is an answer.
+func (r *Relay[T]) reached(ctx context.Context, err error) {
+	if ctx.Err() == nil {
+		r.Reached(err == nil || errors.Is(err, ErrGone))
 	}
-	return news, next, nil
 }
 
 // hear waits for a post that goes on from a place, and tells if one in between is missing.
--- a/internal/plat/feed/relay_test.go
+++ b/internal/plat/feed/relay_test.go
@@ -28,7 +28,7 @@
 func relay(src feed.Source[int]) *feed.Relay[int] {
 	return (&feed.Relay[int]{
 		Source: src, Reads: func() bool { return false }, Same: func(was, is int) bool { return was == is },
-		Patience: func() time.Duration { return time.Second }, Share: func(feed.Post[int]) {}, Alone: func(int64) {},
+		Patience: func() time.Duration { return time.Second }, Share: func(feed.Post[int]) {}, Alone: func(int64) {}, Reached: func(bool) {},
 		Ask: func() bool { return true }, Waits: func(time.Duration) bool { return false },
 	}).Init()
 }
@@ -57,15 +57,15 @@
 		is.NoErr(err)
 		p.topic.Put("k", 1) // says nothing new
 		p.topic.Put("l", 2)
-		_, _, err = p.a.Next(t.Context(), from, 0)
+		_, err = p.a.Next(t.Context(), from, feed.Ask{})
 		is.NoErr(err)
 		began := time.Now()
-		all, to, err := p.b.Next(t.Context(), at, 0)
+		b, err := p.b.Next(t.Context(), at, feed.Ask{})
 		is.NoErr(err)
 		is.Equal(time.Since(began), time.Duration(0))
-		is.Equal(len(all), 1)
-		is.Equal(all[0].Value, 2)
-		is.Equal(to, at+2)
+		is.Equal(len(b.All), 1)
+		is.Equal(b.All[0].Value, 2)
+		is.Equal(b.Next, at+2)
 	})
 }
 
@@ -79,18 +79,19 @@
 		is.NoErr(err)
 		p.topic.Put("k", 1)
 		began := time.Now()
-		all, at, err := p.b.Next(t.Context(), at, 0)
+		b, err := p.b.Next(t.Context(), at, feed.Ask{})
 		is.NoErr(err)
 		is.Equal(time.Since(began), time.Second)
-		is.Equal(len(all), 1)
+		is.Equal(len(b.All), 1)
+		at = b.Next
 
 		p.topic.Put("k", 2)
 		p.b.Deliver(feed.Post[int]{From: at + 1, To: at + 2}) // the one before it was lost
 		began = time.Now()
-		all, _, err = p.b.Next(t.Context(), at, 0)
+		b, err = p.b.Next(t.Context(), at, feed.Ask{})
 		is.NoErr(err)
 		is.Equal(time.Since(began), time.Duration(0))
-		is.Equal(all[0].Value, 2)
+		is.Equal(b.All[0].Value, 2)
 	})
 }
 
@@ -103,7 +104,7 @@
 		_, from, err := p.a.Newest(t.Context())
 		is.NoErr(err)
 		p.topic.Down(true)
-		_, _, err = p.a.Next(t.Context(), from, 0)
+		_, err = p.a.Next(t.Context(), from, feed.Ask{})
 		is.True(err != nil && !errors.Is(err, feed.ErrGone))
 		is.Equal(p.posts, 0)
 	})
@@ -162,11 +163,11 @@
 		is.NoErr(err)
 		is.Equal(all, []feed.Update[int]{{Key: "k", Value: 1}})
 		began := time.Now()
-		more, at, err := r.Next(t.Context(), at, 900*time.Millisecond)
+		b, err := r.Next(t.Context(), at, feed.Ask{Wait: 900 * time.Millisecond})
 		is.NoErr(err)
-		is.Equal(more, []feed.Update[int]{{Key: "k", Value: 2}})
+		is.Equal(b.All, []feed.Update[int]{{Key: "k", Value: 2}})
 		is.Equal(time.Since(began), time.Duration(0))
-		_, _, err = r.Next(t.Context(), at, 900*time.Millisecond)
+		_, err = r.Next(t.Context(), b.Next, feed.Ask{Wait: 900 * time.Millisecond})
 		is.NoErr(err)
 		is.Equal(time.Since(began), time.Second) // then it waits for posts, as others do
 	})
@@ -187,9 +188,9 @@
 		is.NoErr(err)
 		p.topic.Down(true)
 		r.Deliver(feed.Post[int]{From: from, To: from + 1, All: []feed.Update[int]{{Key: "k", Value: 2}}})
-		more, _, err := r.Next(t.Context(), at, 900*time.Millisecond)
+		b, err := r.Next(t.Context(), at, feed.Ask{Wait: 900 * time.Millisecond})
 		is.NoErr(err)
-		is.Equal(more, []feed.Update[int]{{Key: "k", Value: 2}})
+		is.Equal(b.All, []feed.Update[int]{{Key: "k", Value: 2}})
 	})
 }
 
@@ -209,7 +210,7 @@
 		p.topic.Put("k", 2)
 		p.topic.Put("k", 3)
 		p.topic.Compact()
-		_, _, err = r.Next(t.Context(), at, 0)
+		_, err = r.Next(t.Context(), at, feed.Ask{})
 		is.True(errors.Is(err, feed.ErrGone))
 		all, _, err := r.Newest(t.Context())
 		is.NoErr(err)
@@ -224,12 +225,12 @@
 	reads atomic.Int64
 }
 
-func (s *slow) Next(ctx context.Context, from int64, wait time.Duration) ([]feed.Update[int], int64, error) {
+func (s *slow) Next(ctx context.Context, from int64, a feed.Ask) (feed.Batch[int], error) {
 	if ctx.Err() == nil {
 		s.reads.Add(1)
 	}
 	time.Sleep(s.takes)
-	return s.Topic.Next(ctx, from, wait)
+	return s.Topic.Next(ctx, from, a)
 }
 
 // domain is VMs of which the first reads for all, unless it is silent; they follow until
@@ -259,11 +260,11 @@
 		}
 		wg.Go(func() {
 			for at := int64(0); ctx.Err() == nil; {
-				_, next, err := r.Next(ctx, at, 900*time.Millisecond)
+				b, err := r.Next(ctx, at, feed.Ask{Wait: 900 * time.Millisecond})
 				if err != nil {
 					return // the time is over
 				}
-				at = next
+				at = b.Next
 			}
 		})
 	}
--- a/internal/tool/grid/grid.go
+++ b/internal/tool/grid/grid.go
@@ -81,6 +81,7 @@
 	cuts      map[[2]string]bool
 	heals     map[[2]string]time.Time // when links over a healed path are up
 	away      map[string]bool         // failure domains that don't reach the store
+	turned    map[netip.AddrPort]bool // VMs that the store turns away
 	endpoints map[string]*fakes.Leased
 	order     []string
 	results   []Result
@@ -93,7 +94,7 @@
 	g := &Grid{
 		Setup: set, Judge: NewJudge(), r: rand.New(rand.NewPCG(set.Seed, 99)), began: time.Now(),
 		Plans: fakes.NewTopic[plan.Plan](), Roster: fakes.NewTopic[lease.Info](), Named: fakes.NewTopic[serve.VM](),
-		cuts: map[[2]string]bool{}, heals: map[[2]string]time.Time{}, away: map[string]bool{}, endpoints: map[string]*fakes.Leased{},
+		cuts: map[[2]string]bool{}, heals: map[[2]string]time.Time{}, away: map[string]bool{}, turned: map[netip.AddrPort]bool{}, endpoints: map[string]*fakes.Leased{},
 	}
 	g.ctx, g.end = context.WithCancel(context.Background())
 	g.build()
@@ -110,12 +111,17 @@
 	return g
 }
 
-func (g *Grid) build() {
-	p := plan.Plan{Version: 1}
+// plan is a version of the configuration; all say the same.
+func (g *Grid) plan(version int64) plan.Plan {
+	p := plan.Plan{Version: version}
 	for _, k := range g.Kinds {
 		p.Queues = append(p.Queues, k.queue())
 	}
-	g.Plans.Put("config", p)
+	return p
+}
+
+func (g *Grid) build() {
+	g.Plans.Put("config", g.plan(1))
 	for i := range g.Endpoints {
 		cores := 64.0
 		if i%3 == 2 {
@@ -307,10 +313,17 @@
 	return g.cuts[way] || time.Now().Before(g.heals[way])
 }
 
-func (g *Grid) storeless(domain string) bool {
+// Turn makes the store turn one VM away, or serve it again.
+func (g *Grid) Turn(v *VM, away bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.turned[v.Mesh] = away
+}
+
+func (g *Grid) storeless(v *VM) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.away[domain]
+	return g.away[v.Domain] || g.turned[v.Mesh]
 }
 
 // settleFor is how long the grid goes on after the load, so that late orders are
--- a/internal/tool/grid/net.go
+++ b/internal/tool/grid/net.go
@@ -243,7 +243,7 @@
 	s.g.StoreCalls.Add(1)
 	s.from.clock.gate()
 	time.Sleep(storing)
-	if s.g.storeless(s.from.Domain) {
+	if s.g.storeless(s.from) {
 		return fakes.ErrStore
 	}
 	return nil
@@ -263,16 +263,15 @@
 }
 
 // Next implements feed.Source.
-func (s *seen[T]) Next(ctx context.Context, from int64, wait time.Duration) ([]feed.Update[T], int64, error) {
+func (s *seen[T]) Next(ctx context.Context, from int64, a feed.Ask) (b feed.Batch[T], err error) {
 	if err := s.reach(); err != nil {
-		return nil, from, err
+		return b, err
 	}
-	us, next, err := s.t.Next(ctx, from, wait)
-	if err != nil {
-		return nil, from, fmt.Errorf("next: %w", err)
+	if b, err = s.t.Next(ctx, from, a); err != nil {
+		return b, fmt.Errorf("next: %w", err)
 	}
-	s.records.Add(int64(len(us)))
-	return us, next, nil
+	s.records.Add(int64(len(b.All)))
+	return b, nil
 }
 
 // registry is the VMs' topic as one VM reaches it.
