Admission counts what a job's orders take; narrow links in the virtual-time grid

Cause: a job's orders take 40 ms and more on a link of 2 Mbit/s, 12 ms were reckoned for all VMs. In bursts jobs were taken in whose objective was lost on the link, and their orders made others late while endpoints had room.

Change: what a job costs beside its work follows from how long orders take here with those on their way and its own. The time-out stays at 100 ms until 32 orders were answered: a lone quick one said nothing of the next burst.

Tests: VMs of the grid get a link of so many bytes a second.

--- a/internal/base/pace/pace.go
+++ b/internal/base/pace/pace.go
@@ -19,9 +19,10 @@
 	// crowdGain is the weight of a new sample in how a call's time follows the number of calls
 	// on their way: about the last ten jobs of a few tasks tell.
 	crowdGain = 1.0 / 32
-	// first is the time-out before any call was answered: eight orders of 600 bytes take 20 ms
-	// of a link of 2 Mbit/s, and a VM that starts meets many at once.
+	// first is the least time-out until sure calls were answered, of a few jobs of several
+	// tasks: sixteen orders of 600 bytes take 40 ms of a link of 2 Mbit/s.
 	first = 100 * time.Millisecond
+	sure  = 32
 	// missed is the part of the last calls that must have timed out for the time-out to
 	// grow: a few are lost for reasons of their own, many mean that it is too short.
 	missed = 0.35
@@ -46,7 +47,6 @@
 
 	mu    sync.Mutex
 	way   int // calls on their way
-	known bool
 	mean  time.Duration
 	dev   time.Duration
 	crowd crowd
@@ -132,8 +132,8 @@
 	p.last, p.row = now, 0
 	p.miss -= gain * p.miss
 	p.back = max(1, p.back*backDown)
-	if !p.known {
-		p.known, p.mean, p.dev = true, took, took/2
+	if p.crowd.samples == 0 {
+		p.mean, p.dev = took, took/2
 	}
 	p.crowd.note(way, took)
 	d := took - p.expect(way)
@@ -141,6 +141,13 @@
 	p.dev += time.Duration(devGain * (max(float64(d), -float64(d)) - float64(p.dev)))
 }
 
+// Expect is how long the last of so many calls takes if they are sent now.
+func (p *Pace) Expect(calls int) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.expect(p.way + calls)
+}
+
 // expect is how long a call takes with so many on their way. Fewer than usual do not shorten it:
 // a time-out that is too short costs more than one that is too long.
 func (p *Pace) expect(way int) time.Duration {
@@ -157,10 +164,10 @@
 }
 
 func (p *Pace) timeout(way int) time.Duration {
-	t := first
-	if p.known {
-		usual := p.expect(way)
-		t = max(p.least, times*usual, usual+devs*p.dev)
+	usual := p.expect(way)
+	t := max(p.least, times*usual, usual+devs*p.dev)
+	if p.crowd.samples < sure {
+		t = max(t, first)
 	}
 	return min(p.most, time.Duration(p.back*float64(t)))
 }
--- a/internal/edge/serve/node.go
+++ b/internal/edge/serve/node.go
@@ -130,8 +130,8 @@
 		wakes: map[string]chan struct{}{}, table: route.New(), reached: map[claim.Group]reached{}, probing: map[claim.Group]bool{}, blind: map[claim.Group]time.Time{},
 		pace: pace.New(orderLeast, orderMost), unowned: true,
 		view: view.New(cfg.VM, cfg.Domain, now), claims: claim.New(cfg.VM, cfg.Domain, cfg.Power, now),
-		book: owner.New(owner.Config{Limits: cfg.Limits, Far: cfg.Far, Log: parts.Log}),
 	}
+	d.book = owner.New(owner.Config{Limits: cfg.Limits, Far: cfg.Far, Log: parts.Log, Orders: d.pace.Expect})
 	d.ctx, d.cancel = context.WithCancel(ctx)
 	d.view.Links(farLinks)
 	d.relay()
--- a/internal/task/owner/admit.go
+++ b/internal/task/owner/admit.go
@@ -14,14 +14,28 @@
 	// shorter than expected has less time to wait. Work is off by a factor of e^0.28
 	// after the kind's mean and the declaration are combined.
 	careful = 0.8
-	// overhead is what sending, starting, collecting and answering take.
-	overhead = 12 * time.Millisecond
+	// overhead is what sending, starting, collecting and answering take on a VM with time and
+	// bandwidth to spare, and answering the part of it that is not the orders'.
+	overhead  = 12 * time.Millisecond
+	answering = 8 * time.Millisecond
 )
 
+// costs is what a job takes beside its work and its wait for room.
+//
+// What goes wrong with one figure for all VMs: where a link carries 400 orders a second, a job of
+// sixteen tasks takes 40 ms to start. It is taken in though its objective can't be met, and its
+// orders make those behind it late too. One notices late jobs while endpoints have room.
+func (b *Book) costs(e *entry) time.Duration {
+	if b.cfg.Orders == nil {
+		return overhead
+	}
+	return max(overhead, answering+b.cfg.Orders(e.Tasks()))
+}
+
 // patience is how long a job's tasks may wait in all for it to meet its objective.
 func (b *Book) patience(e *entry, now time.Time) time.Duration {
 	work := b.chain(e.Job)
-	return time.Duration((e.Stretch-1)*careful*float64(work)) + e.Slack - overhead - e.Waited - now.Sub(e.came)
+	return time.Duration((e.Stretch-1)*careful*float64(work)) + e.Slack - b.costs(e) - e.Waited - now.Sub(e.came)
 }
 
 // lastChance is how long the tasks of a job that will miss its objective may wait for
@@ -32,7 +46,7 @@
 	work := b.chain(e.Job)
 	aim := time.Duration(e.Stretch*careful*float64(work)) + e.Slack
 	useful := min(lateFor*aim, time.Duration(holdPart*float64(e.due.Sub(e.came))))
-	return useful - work - overhead - now.Sub(e.came)
+	return useful - work - b.costs(e) - now.Sub(e.came)
 }
 
 // lateFor is up to how many times its objective an answer is of some use.
--- a/internal/task/owner/book.go
+++ b/internal/task/owner/book.go
@@ -65,6 +65,9 @@
 	Limits lease.Limits
 	Far    float64 // how many times longer a task runs away from its data
 	Log    *slog.Logger
+	// Orders is how long the last of so many orders takes if they are sent now; nil if they take
+	// next to nothing.
+	Orders func(n int) time.Duration
 }
 
 // Book is the state of one owner; the caller serializes all calls.
--- a/internal/tool/grid/grid.go
+++ b/internal/tool/grid/grid.go
@@ -34,6 +34,8 @@
 	// Rate scales the load of a kind at a time since the start; nil is 1 throughout.
 	Rate   func(kind int, at time.Duration) float64
 	Faults []Fault
+	// Link is what each VM can send, in bytes a second; 0 for no bound.
+	Link int
 	// Again makes callers whose VM dies or that find none submit again after a while, as the
 	// users' do. They are counted once, from when they first came.
 	Again bool
@@ -153,7 +155,7 @@
 
 // Boot starts a VM; at an address that had one, it is a new incarnation.
 func (g *Grid) Boot(at netip.AddrPort, domain string) *VM {
-	v := &VM{Mesh: at, Domain: domain, Inc: g.serial.Add(1), clock: &clock{}, born: time.Now()}
+	v := &VM{Mesh: at, Domain: domain, Inc: g.serial.Add(1), clock: &clock{}, up: &uplink{rate: g.Link}, born: time.Now()}
 	ctx, cancel := context.WithCancel(g.ctx)
 	v.cancel = cancel
 	out := g.Log
--- /dev/null
+++ b/internal/tool/grid/narrow_test.go
@@ -0,0 +1,56 @@
+package grid
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// thin is 18 VMs in six failure domains, three jobs a second for each and a link of 2 Mbit/s,
+// with 90 endpoints: one VM of each domain carries the orders of 15.
+func thin() Setup {
+	set := Users(165)
+	set.Domains, set.VMs, set.Endpoints, set.Link = 6, 18, 90, 250_000
+	return set
+}
+
+// Symptom: a sixth of all jobs is late on a calm day, and endpoints seem silent. Sequence: the
+// orders of each job queue on a link of 2 Mbit/s. Cause: those that wait are taken for lost and sent
+// again, and what else looks after lost ones takes the link as well.
+func TestNarrowLinksLoseNoOrders(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	set := thin()
+	lost := &moments{words: []string{"start unanswered"}}
+	set.Log = lost
+	g := play(t, set)
+	from, to := set.Warm, set.Warm+set.Span
+	report(t, g, from, to)
+	c := g.Counts(every, from, to)
+	t.Logf("%d orders unanswered, %.3f in aim", len(lost.at), c.Share())
+	is.Equal(len(lost.at), 0)
+	is.True(c.Share() >= 0.95)
+}
+
+// Symptom: in a burst that the endpoints could do half of, next to nothing is in time. Sequence:
+// twice the usual load comes to VMs whose links carry little more than the usual. Cause: jobs are
+// taken in by the room of the endpoints alone; their orders queue, and make all others late.
+func TestBurstOnNarrowLinksIsServedInTimeOrRefusedEarly(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	from, to := 4*time.Second, 8*time.Second
+	earned, packed := 0.0, 0.0
+	var all Count
+	for seed := range uint64(plays) {
+		set := thin()
+		set.Seed = seed + 1
+		set.Rate = burst(2, from, to, urgent, long, plain)
+		g := play(t, set)
+		all.Add(g.Counts(every, from, to))
+		earned += g.Earned(from, to+afterwards) / plays
+		packed += g.Bound(from, to+afterwards, 0.84) / plays
+	}
+	t.Logf("earned %.3f of at most %.3f as tasks fit, %+v", earned, packed, all)
+	is.True(earned >= 0.8*packed) // as in other bursts
+}
--- a/internal/tool/grid/net.go
+++ b/internal/tool/grid/net.go
@@ -77,6 +77,7 @@
 	Node   *serve.Node
 	born   time.Time
 	clock  *clock
+	up     *uplink
 	cancel context.CancelFunc
 	dead   atomic.Bool
 	ready  atomic.Bool // the balancer sends callers
@@ -145,7 +146,7 @@
 		go l.run()
 	}
 	p.mu.Unlock()
-	if !l.lane.Put(delay(p.from.Domain, vm.Domain), m) {
+	if !l.lane.Put(delay(p.from.Domain, vm.Domain)+p.from.up.takes(sizeOf(m)), m) {
 		return errCut
 	}
 	return nil
@@ -180,16 +181,39 @@
 	from *VM
 }
 
-// reach brings an order to an endpoint, if it is not cut off, and its answer back.
-func (h *hands) reach(ctx context.Context, to agent.Target, do func(*fakes.Leased) error) error {
+// reach brings an order to an endpoint, if it is not cut off, and its answer back. On a narrow link
+// it may arrive after its sender has given it up.
+func (h *hands) reach(ctx context.Context, to agent.Target, bytes int, do func(*fakes.Leased) error) error {
 	h.from.clock.gate()
 	if h.from.dead.Load() {
 		return errDead
 	}
 	h.from.orders.Add(1)
+	wait := h.from.up.takes(bytes)
+	if wait == 0 {
+		return h.bring(ctx, to, 0, do)
+	}
+	done := make(chan error, 1)
+	h.g.wg.Add(1)
+	go func() {
+		defer h.g.wg.Done()
+		done <- h.bring(ctx, to, wait, do)
+	}()
+	select {
+	case err := <-done:
+		return err
+	case <-ctx.Done():
+		return errLate
+	}
+}
+
+var errLate = errors.New("no answer in time")
+
+// bring does what reach says once an order has waited for its turn on the link.
+func (h *hands) bring(ctx context.Context, to agent.Target, wait time.Duration, do func(*fakes.Leased) error) error {
 	e := h.g.endpoint(to.ID)
 	d := delay(h.from.Domain, e.Domain)
-	time.Sleep(d)
+	time.Sleep(wait + d)
 	if h.g.isCut(h.from.Domain, e.Domain) {
 		<-ctx.Done()
 		return errCut
@@ -206,26 +230,30 @@
 
 // Start implements agent.Agent.
 func (h *hands) Start(ctx context.Context, to agent.Target, o agent.Start) error {
-	return h.reach(ctx, to, func(e *fakes.Leased) error { return e.Start(ctx, to.ID, o) })
+	return h.reach(ctx, to, startBytes, func(e *fakes.Leased) error { return e.Start(ctx, to.ID, o) })
 }
 
 // Stop implements agent.Agent.
 func (h *hands) Stop(ctx context.Context, to agent.Target, n lease.Name, fence uint64) error {
-	return h.reach(ctx, to, func(e *fakes.Leased) error { return e.Stop(ctx, to.ID, n, fence) })
+	return h.reach(ctx, to, otherBytes, func(e *fakes.Leased) error { return e.Stop(ctx, to.ID, n, fence) })
 }
 
 // Renew implements agent.Agent.
-func (h *hands) Renew(ctx context.Context, to agent.Target, o agent.Renew) (r lease.Report, err error) {
-	err = h.reach(ctx, to, func(e *fakes.Leased) (err error) {
+func (h *hands) Renew(ctx context.Context, to agent.Target, o agent.Renew) (lease.Report, error) {
+	var r lease.Report // an answer that comes too late still writes it
+	err := h.reach(ctx, to, otherBytes, func(e *fakes.Leased) (err error) {
 		r, err = e.Renew(ctx, to.ID, o)
 		return err
 	})
-	return r, err
+	if err != nil {
+		return lease.Report{}, err
+	}
+	return r, nil
 }
 
 // Reach implements agent.Agent.
 func (h *hands) Reach(ctx context.Context, to agent.Target) error {
-	return h.reach(ctx, to, func(*fakes.Leased) error { return nil })
+	return h.reach(ctx, to, 0, func(*fakes.Leased) error { return nil })
 }
 
 // Forget implements agent.Agent.
