--- a/internal/mesh/link/receiver.go
+++ b/internal/mesh/link/receiver.go
@@ -22,6 +22,10 @@
 	word  atomic.Int64 // when the last message was read, by the hub's clock
 }
 
+// readBytes is the buffer of a connection: some forty heartbeats. One of 64 KB for each of 67 peers
+// was 4.3 of 5.4 MB of all that a VM held among 97 (heap profile of a played day).
+const readBytes = 4 << 10
+
 // serve reads one connection that a peer opened.
 func (h *Hub) serve(ctx context.Context, c net.Conn) {
 	defer c.Close() //nolint:errcheck // it is given up anyway
@@ -30,7 +34,7 @@
 	if c.SetDeadline(time.Now().Add(helloWait)) != nil {
 		return
 	}
-	r := bufio.NewReaderSize(c, 64<<10)
+	r := bufio.NewReaderSize(c, readBytes)
 	m, _, err := frame.Read(r)
 	if err != nil {
 		h.log.Debug("link refused", "remote", c.RemoteAddr(), "err", err)
