Less garbage in large fleets, and a heap that grows by half

Cause (heap profile, allocations of a VM among 97): half of all bytes were copies of the endpoints made each 0.4 s for nobody who had asked, a fifth the map of claims made anew each 0.1 s. Change: no copy without an asker; one map and one list of peers for all rounds; a short frame's body is allocated as announced. The collector runs at 50 % growth.

--- a/internal/cli/cmds/cmd_serve.go
+++ b/internal/cli/cmds/cmd_serve.go
@@ -66,9 +66,15 @@
 // heapPart is the part of the memory limit at which the collector works harder.
 const heapPart = 0.6
 
-// bound keeps the process under its memory limit. The heap is small, so collecting it
-// more often costs little and the peak is what is paid for.
+// growth is by how much, in percent of what is in use, the heap grows until it is collected. The
+// heap is small, so collecting it more often costs little, and the peak is what is paid for: 16.6
+// MB a VM among 97 for 136 s of processor time of all in 30 s, 20.1 MB for 123 s at the usual 100
+// (played, one run each).
+const growth = 50
+
+// bound keeps the process under its memory limit.
 func bound(set serve.Settings) {
+	debug.SetGCPercent(growth)
 	debug.SetMemoryLimit(int64(heapPart * float64(set.Memory) * (1 << 20)))
 }
 
--- a/internal/edge/serve/node.go
+++ b/internal/edge/serve/node.go
@@ -114,6 +114,7 @@
 	unowned   bool                    // a group has no owner
 	reached   map[claim.Group]reached // groups of other domains
 	probing   map[claim.Group]bool
+	heard     []claim.Peer              // filled anew for each round of claims
 	blind     map[claim.Group]time.Time // when an owned group was last seen to answer
 	lossy     time.Time                 // until then orders are thought to get lost
 }
--- a/internal/edge/serve/own.go
+++ b/internal/edge/serve/own.go
@@ -131,9 +131,10 @@
 	}
 }
 
+// peers are the other VMs as the claims see them, until the next call; the caller holds the lock.
 func (d *Node) peers(now time.Time) []claim.Peer {
 	all := d.view.Members()
-	ps := make([]claim.Peer, 0, len(all))
+	ps := d.heard[:0]
 	for _, m := range all {
 		ps = append(ps, claim.Peer{
 			VM: m.VM, Domain: m.Domain, Leaving: m.State == view.Left || m.Beat.Leaving, Since: d.since[m.VM],
@@ -141,6 +142,7 @@
 			Claims: m.Beat.Claims, Listed: m.State == view.Listed, Absent: m.State == view.Listed && d.parts.Mesh.Absent(m.VM), Silent: m.State == view.Suspect, Power: float64(m.Beat.Power),
 		})
 	}
+	d.heard = ps
 	return ps
 }
 
--- a/internal/edge/serve/relay.go
+++ b/internal/edge/serve/relay.go
@@ -284,7 +284,10 @@
 	to := d.askers
 	d.askers = nil
 	d.mu.Unlock()
-	if p, ok := d.eps.Copy(); ok && len(to) > 0 {
+	if len(to) == 0 {
+		return // a copy of 540 endpoints each 0.4 s was half of all that a VM allocated
+	}
+	if p, ok := d.eps.Copy(); ok {
 		d.parts.Mesh.Spread(to, rosterFrame(p))
 	}
 }
--- a/internal/mesh/claim/claim.go
+++ b/internal/mesh/claim/claim.go
@@ -76,6 +76,9 @@
 	own    map[Group]*Own
 	shun   map[Group]*rest
 	listed bool // the store's list of VMs was read
+	// claims is filled anew by each round; a map for each would be a fifth of all that a VM
+	// among 97 allocates.
+	claims map[Group]claimant
 }
 
 // rest is how long a group is left alone for which another VM had a higher fence.
@@ -93,7 +96,7 @@
 
 // New returns a book without claims.
 func New(self netip.AddrPort, domain string, power float64, now time.Time) *Book {
-	return &Book{self: self, domain: domain, power: power, began: now, own: map[Group]*Own{}, shun: map[Group]*rest{}}
+	return &Book{self: self, domain: domain, power: power, began: now, own: map[Group]*Own{}, shun: map[Group]*rest{}, claims: map[Group]claimant{}}
 }
 
 // Owns returns the claim on a group, or nil.
@@ -174,7 +177,8 @@
 
 // Decide looks at all groups and returns what changed.
 func (b *Book) Decide(now time.Time, leaving bool, seats []Seat, peers []Peer) (changes []Change) {
-	claims := claimants(peers)
+	clear(b.claims)
+	sum(b.claims, peers)
 	for _, p := range peers {
 		for _, c := range p.Claims {
 			b.top = max(b.top, c.Fence)
@@ -183,7 +187,7 @@
 	fence := uint64(0) // one for all groups of a round, so that a heartbeat names it once
 	spare := b.spare(now, seats, peers)
 	for _, g := range seats {
-		on := claims[g.Group]
+		on := b.claims[g.Group]
 		if mine := b.own[g.Group]; mine != nil {
 			if spare != "" && g.key() == spare && !mine.Giving {
 				mine.Giving = true
@@ -292,8 +296,9 @@
 // Owned lists the groups that a VM which is heard owns and keeps.
 func Owned(peers []Peer) map[Group]bool {
 	heard := slices.DeleteFunc(slices.Clone(peers), func(p Peer) bool { return p.Silent })
-	owned := map[Group]bool{}
-	for g, c := range claimants(heard) {
+	claims, owned := map[Group]claimant{}, map[Group]bool{}
+	sum(claims, heard)
+	for g, c := range claims {
 		owned[g] = c.kept
 	}
 	return owned
@@ -312,10 +317,9 @@
 	giving netip.AddrPort // one hands it over
 }
 
-// claimants sums up the claims of live peers; it is done once for all groups, since each
-// has many and there are many peers.
-func claimants(peers []Peer) map[Group]claimant {
-	all := map[Group]claimant{}
+// sum adds up the claims of live peers; it is done once for all groups, since each has many and
+// there are many peers.
+func sum(all map[Group]claimant, peers []Peer) {
 	for _, p := range peers {
 		for _, c := range p.Claims {
 			if !p.Live {
@@ -333,7 +337,6 @@
 			}
 		}
 	}
-	return all
 }
 
 // best returns the VM that should own a group that nobody owns: one of its own domain,
--- a/internal/mesh/frame/frame.go
+++ b/internal/mesh/frame/frame.go
@@ -55,16 +55,38 @@
 	if k == 0 || k >= kinds {
 		return nil, 0, fmt.Errorf("kind %d: %w", k, ErrKind)
 	}
-	body, err := io.ReadAll(io.LimitReader(r, int64(n))) // grows as bytes come, not as announced
+	body, err := readBody(r, int(n))
 	if err != nil {
 		return nil, 0, fmt.Errorf("read frame body: %w", err)
 	}
-	if len(body) < int(n) {
-		return nil, 0, fmt.Errorf("read frame body: %w", io.ErrUnexpectedEOF)
-	}
 	m := makers[k]()
 	if err := msgpack.Unmarshal(body, m); err != nil {
 		return nil, 0, fmt.Errorf("decode %T: %w", m, err)
 	}
 	return m, headSize + int(n), nil
 }
+
+// smallBody is the length up to which a body is taken to be as long as announced.
+const smallBody = 1 << 10
+
+// readBody reads a body of n bytes. That of a long one grows as bytes come, not as announced.
+func readBody(r io.Reader, n int) ([]byte, error) {
+	if n <= smallBody {
+		body := make([]byte, n)
+		_, err := io.ReadFull(r, body)
+		return body, unexpected(err)
+	}
+	body, err := io.ReadAll(io.LimitReader(r, int64(n)))
+	if err == nil && len(body) < n {
+		err = io.ErrUnexpectedEOF
+	}
+	return body, err //nolint:wrapcheck // the caller says what was read
+}
+
+// unexpected makes an end before the first byte one in the midst of a frame.
+func unexpected(err error) error {
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
