The daemon of leased endpoints is also a program of its own

Cause: of the 10 ms of processor time that the command takes until it reads its settings, 5.8 are a library of the operators' commands that compiles its schemas at each start, and others print manuals and plots. On 0.12 of a core, as VMs have them after a loss of power, that is 50 to 60 ms in which nobody is served.

Change: dahliawinchd runs what 'dahliawinch serve' runs; durations, strict JSON and problems of documents and settings have a package of their own, conf/valid.

--- a/internal/cli/cmds/cmd_check.go
+++ b/internal/cli/cmds/cmd_check.go
@@ -10,6 +10,7 @@
 
 	"dahliawinch/internal/conf/doc"
 	"dahliawinch/internal/conf/setup"
+	"dahliawinch/internal/conf/valid"
 )
 
 var errInvalid = errors.New("the file is not valid")
@@ -36,7 +37,7 @@
 }
 
 // checkFile tells settings from a document by a field that only settings have.
-func checkFile(path string, text []byte) (kind string, problems []doc.Problem) {
+func checkFile(path string, text []byte) (kind string, problems []valid.Problem) {
 	var probe map[string]json.RawMessage
 	if json.Unmarshal(text, &probe) == nil && (probe["mesh"] != nil || probe["domain"] != nil) {
 		set := setup.Default()
@@ -47,14 +48,14 @@
 }
 
 // invalid returns the problems that an error carries.
-func invalid(err error) []doc.Problem {
-	var in *doc.InvalidError
+func invalid(err error) []valid.Problem {
+	var in *valid.Error
 	switch {
 	case err == nil:
 		return nil
 	case errors.As(err, &in):
 		return in.Problems
 	default:
-		return []doc.Problem{{Field: "file", Wrong: err.Error(), Mend: "mend the file"}}
+		return []valid.Problem{{Field: "file", Wrong: err.Error(), Mend: "mend the file"}}
 	}
 }
--- a/internal/cli/cmds/cmd_demo.go
+++ b/internal/cli/cmds/cmd_demo.go
@@ -12,7 +12,8 @@
 	"github.com/spf13/pflag"
 
 	"dahliawinch/internal/base/meter"
-	"dahliawinch/internal/conf/doc"
+	"dahliawinch/internal/cli/daemon"
+	"dahliawinch/internal/conf/valid"
 	"dahliawinch/internal/tool/judge"
 	"dahliawinch/internal/tool/load"
 	"dahliawinch/internal/tool/local"
@@ -32,7 +33,7 @@
 		f.Bool("verbose", false, "print the daemons' logs")
 	},
 	action: func(c *cobra.Command, _ []string) error {
-		first, _, stop := signals()
+		first, _, stop := daemon.Signals()
 		defer stop()
 		level := slog.LevelError
 		if v, _ := c.Flags().GetBool("verbose"); v {
@@ -62,7 +63,7 @@
 	load.Report
 	Wasted  float64            `json:"wasted"` // messages per task
 	Causes  map[string]float64 `json:"causes"` // the same by cause
-	Changed doc.Span           `json:"changed"`
+	Changed valid.Span         `json:"changed"`
 }
 
 func demo(ctx context.Context, status io.Writer, log *slog.Logger) (*demoReport, error) {
@@ -124,7 +125,7 @@
 	if err := d.Declare(ctx, next); err != nil {
 		return fmt.Errorf("change the document: %w", err)
 	}
-	out.Changed = doc.Span(time.Since(began).Round(time.Millisecond))
+	out.Changed = valid.Span(time.Since(began).Round(time.Millisecond))
 	fmt.Fprintf(status, "document revision 2 is in force on all VMs after %s\n", out.Changed.Std())
 	pause(ctx, demoSpan/8)
 	fmt.Fprintln(status, "an entry VM leaves gracefully")
--- a/internal/cli/cmds/cmd_entry.go
+++ b/internal/cli/cmds/cmd_entry.go
@@ -8,8 +8,9 @@
 	"github.com/spf13/cobra"
 	"github.com/spf13/pflag"
 
-	"dahliawinch/internal/conf/doc"
+	"dahliawinch/internal/cli/daemon"
 	"dahliawinch/internal/conf/setup"
+	"dahliawinch/internal/conf/valid"
 	"dahliawinch/internal/edge/entry"
 )
 
@@ -23,7 +24,7 @@
 		if err != nil {
 			return err
 		}
-		leave, kill, stop := signals()
+		leave, kill, stop := daemon.Signals()
 		defer stop()
 		log := logger(c.ErrOrStderr(), slog.Level(set.LogLevel()))
 		d, err := entry.New(kill, set, log)
@@ -69,7 +70,7 @@
 			return set, fmt.Errorf("settings: %w", err)
 		}
 	}
-	var problems []doc.Problem
+	var problems []valid.Problem
 	for _, s := range settingNames {
 		if !c.Flags().Changed(s.name) {
 			continue
@@ -79,11 +80,11 @@
 			err = set.Set(s.name, text)
 		}
 		if err != nil {
-			problems = append(problems, doc.Problem{Field: s.name, Wrong: err.Error(), Mend: "mend the flag"})
+			problems = append(problems, valid.Problem{Field: s.name, Wrong: err.Error(), Mend: "mend the flag"})
 		}
 	}
 	if problems = append(problems, set.Check()...); len(problems) > 0 {
-		return set, fmt.Errorf("settings: %w", errors.Join(&doc.InvalidError{Problems: problems}))
+		return set, fmt.Errorf("settings: %w", errors.Join(&valid.Error{Problems: problems}))
 	}
 	return set, nil
 }
--- a/internal/cli/cmds/cmd_form.go
+++ b/internal/cli/cmds/cmd_form.go
@@ -9,6 +9,7 @@
 
 	"dahliawinch/internal/conf/doc"
 	"dahliawinch/internal/conf/forms"
+	"dahliawinch/internal/conf/valid"
 )
 
 var cmdForm = command{
@@ -57,7 +58,7 @@
 		return &code{exitRefused, fmt.Errorf("form: %w", err)}
 	}
 	if ps := next.Check(); len(ps) > 0 {
-		return &code{exitRefused, fmt.Errorf("form: %w", &doc.InvalidError{Problems: ps})}
+		return &code{exitRefused, fmt.Errorf("form: %w", &valid.Error{Problems: ps})}
 	}
 	out, err := next.Encode()
 	if err != nil {
--- a/internal/cli/cmds/cmd_load.go
+++ b/internal/cli/cmds/cmd_load.go
@@ -12,6 +12,7 @@
 	"github.com/spf13/cobra"
 	"github.com/spf13/pflag"
 
+	"dahliawinch/internal/cli/daemon"
 	"dahliawinch/internal/tool/judge"
 	"dahliawinch/internal/tool/load"
 	"dahliawinch/internal/tool/mix"
@@ -42,7 +43,7 @@
 		if err != nil {
 			return err
 		}
-		first, _, stop := signals()
+		first, _, stop := daemon.Signals()
 		defer stop()
 		l := load.New(plan, judge.New())
 		done := progress(first, c.ErrOrStderr(), l)
--- a/internal/cli/cmds/cmd_local.go
+++ b/internal/cli/cmds/cmd_local.go
@@ -7,6 +7,7 @@
 	"github.com/spf13/cobra"
 	"github.com/spf13/pflag"
 
+	"dahliawinch/internal/cli/daemon"
 	"dahliawinch/internal/tool/judge"
 	"dahliawinch/internal/tool/local"
 	"dahliawinch/internal/tool/mix"
@@ -23,7 +24,7 @@
 		f.Bool("verbose", false, "print the daemons' logs")
 	},
 	action: func(c *cobra.Command, _ []string) error {
-		first, second, stop := signals()
+		first, second, stop := daemon.Signals()
 		defer stop()
 		level := slog.LevelError
 		if v, _ := c.Flags().GetBool("verbose"); v {
--- a/internal/cli/cmds/command.go
+++ b/internal/cli/cmds/command.go
@@ -2,13 +2,10 @@
 package cmds
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"io"
 	"log/slog"
-	"os/signal"
-	"syscall"
 
 	"github.com/spf13/cobra"
 	"github.com/spf13/pflag"
@@ -88,24 +85,6 @@
 // failed marks an error as the command's own failure rather than a wrong call.
 func failed(err error) error { return &code{exitFailed, err} }
 
-// signals returns a context that the first signal ends, and one for the second.
-func signals() (first, second context.Context, stop func()) {
-	first, stop1 := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	second, cancel := context.WithCancel(context.Background())
-	go func() {
-		<-first.Done()
-		stop1()
-		again, stop2 := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-		defer stop2()
-		select {
-		case <-again.Done():
-			cancel()
-		case <-second.Done():
-		}
-	}()
-	return first, second, func() { stop1(); cancel() }
-}
-
 // logger writes one line of key=value pairs for each event, and counts floods.
 func logger(w io.Writer, level slog.Level) *slog.Logger {
 	return slog.New(sample.New(slog.NewTextHandler(w, &slog.HandlerOptions{Level: level})))
--- a/internal/conf/doc/bench_test.go
+++ b/internal/conf/doc/bench_test.go
@@ -6,14 +6,16 @@
 	"time"
 
 	"dahliawinch/internal/task/job"
+
+	"dahliawinch/internal/conf/valid"
 )
 
 // BenchmarkParse validates a document with a number of tenants.
 func BenchmarkParse(b *testing.B) {
 	for _, n := range []int{4, 490} {
 		d := &Document{
-			Service: "s", Classes: map[string]Class{"r": {Band: job.Routine, Deadline: Span(time.Second)}},
-			Tenants: map[string]Tenant{}, Limits: Limits{Tasks: 1, Bytes: 1, Deadline: Span(time.Minute)},
+			Service: "s", Classes: map[string]Class{"r": {Band: job.Routine, Deadline: valid.Span(time.Second)}},
+			Tenants: map[string]Tenant{}, Limits: Limits{Tasks: 1, Bytes: 1, Deadline: valid.Span(time.Minute)},
 		}
 		for i := range n {
 			d.Tenants[fmt.Sprint("team-", i)] = Tenant{Weight: 1, Keys: []string{Hash(fmt.Sprint(i))}}
--- a/internal/conf/doc/check.go
+++ b/internal/conf/doc/check.go
@@ -9,19 +9,21 @@
 	"time"
 
 	"dahliawinch/internal/task/job"
+
+	"dahliawinch/internal/conf/valid"
 )
 
 // checker collects problems under field names.
-type checker struct{ found []Problem }
+type checker struct{ found []valid.Problem }
 
 func (c *checker) need(ok bool, field, wrong, mend string) {
 	if !ok {
-		c.found = append(c.found, Problem{field, wrong, mend})
+		c.found = append(c.found, valid.Bad(field, wrong, mend))
 	}
 }
 
 // Check returns every problem of the document, in the order of its fields.
-func (d *Document) Check() []Problem {
+func (d *Document) Check() []valid.Problem {
 	c := &checker{}
 	c.need(validName(d.Service), "service", fmt.Sprintf("%q is no name", d.Service), "use 1 to 40 letters, digits or dashes")
 	d.checkClasses(c)
--- a/internal/conf/doc/doc_test.go
+++ b/internal/conf/doc/doc_test.go
@@ -9,6 +9,8 @@
 	"testing"
 
 	"github.com/matryer/is"
+
+	"dahliawinch/internal/conf/valid"
 )
 
 var update = flag.Bool("update", false, "rewrite the golden files")
@@ -40,7 +42,7 @@
 			text, err := os.ReadFile(f)
 			is.NoErr(err)
 			_, err = Parse(text)
-			var bad *InvalidError
+			var bad *valid.Error
 			is.True(errors.As(err, &bad))
 			golden := strings.TrimSuffix(f, ".json") + ".golden"
 			if *update {
--- a/internal/conf/doc/schema.go
+++ b/internal/conf/doc/schema.go
@@ -11,6 +11,8 @@
 
 	"github.com/santhosh-tekuri/jsonschema/v6"
 	"github.com/santhosh-tekuri/jsonschema/v6/kind"
+
+	"dahliawinch/internal/conf/valid"
 )
 
 //go:embed schema.json
@@ -37,26 +39,26 @@
 })
 
 // shape checks a document's JSON against the schema: fields, types, names.
-func shape(text []byte) []Problem {
+func shape(text []byte) []valid.Problem {
 	s, err := compiled()
 	if err != nil {
-		return []Problem{{"document", err.Error(), "this program is broken; report it"}}
+		return []valid.Problem{valid.Bad("document", err.Error(), "this program is broken; report it")}
 	}
 	value, err := jsonschema.UnmarshalJSON(bytes.NewReader(text))
 	if err != nil {
-		return []Problem{{"document", strings.TrimPrefix(err.Error(), "invalid character "), "mend the JSON"}}
+		return []valid.Problem{valid.Bad("document", strings.TrimPrefix(err.Error(), "invalid character "), "mend the JSON")}
 	}
 	var bad *jsonschema.ValidationError
 	if errors.As(s.Validate(value), &bad) {
 		ps := leaves(bad)
-		slices.SortStableFunc(ps, func(a, b Problem) int { return strings.Compare(a.Field, b.Field) })
+		slices.SortStableFunc(ps, func(a, b valid.Problem) int { return strings.Compare(a.Field, b.Field) })
 		return ps
 	}
 	return nil
 }
 
 // leaves turns the innermost causes into problems.
-func leaves(e *jsonschema.ValidationError) (ps []Problem) {
+func leaves(e *jsonschema.ValidationError) (ps []valid.Problem) {
 	if len(e.Causes) > 0 {
 		for _, c := range e.Causes {
 			ps = append(ps, leaves(c)...)
@@ -71,26 +73,26 @@
 	switch k := e.ErrorKind.(type) {
 	case *kind.AdditionalProperties:
 		for _, name := range k.Properties {
-			ps = append(ps, Problem{join(at, name), "is not a known field", "remove it, or mend its spelling"})
+			ps = append(ps, valid.Bad(join(at, name), "is not a known field", "remove it, or mend its spelling"))
 		}
 		return ps
 	case *kind.Required:
 		for _, name := range k.Missing {
-			ps = append(ps, Problem{join(at, name), "is missing", "add it"})
+			ps = append(ps, valid.Bad(join(at, name), "is missing", "add it"))
 		}
 		return ps
 	case *kind.Type:
-		return []Problem{{whole, "is of type " + k.Got, "write a value of type " + strings.Join(k.Want, " or ")}}
+		return []valid.Problem{valid.Bad(whole, "is of type "+k.Got, "write a value of type "+strings.Join(k.Want, " or "))}
 	case *kind.Enum:
-		return []Problem{{whole, fmt.Sprintf("is %q", k.Got), fmt.Sprintf("use one of %v", k.Want)}}
+		return []valid.Problem{valid.Bad(whole, fmt.Sprintf("is %q", k.Got), fmt.Sprintf("use one of %v", k.Want))}
 	case *kind.Pattern:
 		mend := "write a duration like 750ms or 2s"
 		if strings.Contains(k.Want, "{1,5}") {
 			mend = "write an IP number and a port, such as 10.1.2.3:8080"
 		}
-		return []Problem{{whole, fmt.Sprintf("is %q", k.Got), mend}}
+		return []valid.Problem{valid.Bad(whole, fmt.Sprintf("is %q", k.Got), mend)}
 	default:
-		return []Problem{{whole, "does not fit the schema", "compare it with docs/DOCUMENT.md"}}
+		return []valid.Problem{valid.Bad(whole, "does not fit the schema", "compare it with docs/DOCUMENT.md")}
 	}
 }
 
--- a/internal/conf/setup/setup.go
+++ b/internal/conf/setup/setup.go
@@ -12,7 +12,7 @@
 	"strings"
 	"time"
 
-	"dahliawinch/internal/conf/doc"
+	"dahliawinch/internal/conf/valid"
 	"dahliawinch/internal/task/flow"
 	"dahliawinch/internal/task/place"
 )
@@ -29,9 +29,9 @@
 	Peers     []netip.AddrPort `json:"peers,omitempty"`
 	Policy    string           `json:"policy"`
 	Memory    int64            `json:"memory"`
-	Term      doc.Span         `json:"term"`
-	Retention doc.Span         `json:"retention"`
-	Linger    doc.Span         `json:"linger"`
+	Term      valid.Span       `json:"term"`
+	Retention valid.Span       `json:"retention"`
+	Linger    valid.Span       `json:"linger"`
 	Level     string           `json:"level"`
 	// Operators are the SHA-256 hashes of operator keys, by the operator's name.
 	Operators map[string]string `json:"operators,omitempty"`
@@ -53,8 +53,8 @@
 // Default returns the settings that a file or flag changes.
 func Default() Settings {
 	return Settings{
-		Policy: place.Homes, Memory: flow.DefaultMemory, Term: doc.Span(flow.DefaultTerm),
-		Retention: doc.Span(time.Hour), Linger: doc.Span(5 * time.Second), Level: "info",
+		Policy: place.Homes, Memory: flow.DefaultMemory, Term: valid.Span(flow.DefaultTerm),
+		Retention: valid.Span(time.Hour), Linger: valid.Span(5 * time.Second), Level: "info",
 	}
 }
 
@@ -64,17 +64,17 @@
 	if err != nil {
 		return fmt.Errorf("read settings: %w", err)
 	}
-	if err := doc.Strict(text, s); err != nil {
-		return &doc.InvalidError{Problems: []doc.Problem{doc.JSONProblem("settings", err)}}
+	if err := valid.Strict(text, s); err != nil {
+		return &valid.Error{Problems: []valid.Problem{valid.JSONProblem("settings", err)}}
 	}
 	return nil
 }
 
 // Check returns every problem of the settings.
-func (s *Settings) Check() (ps []doc.Problem) {
+func (s *Settings) Check() (ps []valid.Problem) {
 	need := func(ok bool, field, wrong, mend string) {
 		if !ok {
-			ps = append(ps, doc.Problem{Field: field, Wrong: wrong, Mend: mend})
+			ps = append(ps, valid.Problem{Field: field, Wrong: wrong, Mend: mend})
 		}
 	}
 	need(s.Domain != "", "domain", "is missing", "name this VM's failure domain")
@@ -140,7 +140,7 @@
 	if err != nil {
 		return fmt.Errorf("flag %s: %w", name, err)
 	}
-	if err := doc.Strict(one, s); err != nil {
+	if err := valid.Strict(one, s); err != nil {
 		return fmt.Errorf("flag %s: %w", name, err)
 	}
 	return nil
--- a/internal/edge/call/body.go
+++ b/internal/edge/call/body.go
@@ -8,24 +8,24 @@
 
 	"github.com/valyala/fasthttp"
 
-	"dahliawinch/internal/conf/doc"
+	"dahliawinch/internal/conf/valid"
 	"dahliawinch/internal/task/job"
 )
 
 // Job is the body of a submission.
 type Job struct {
-	Class    string   `json:"class"`
-	Kind     string   `json:"kind,omitempty"`
-	Deadline doc.Span `json:"deadline,omitempty"`
-	Ticket   string   `json:"ticket,omitempty"`
-	Grant    int      `json:"grant,omitempty"`
-	Tasks    []Task   `json:"tasks"`
+	Class    string     `json:"class"`
+	Kind     string     `json:"kind,omitempty"`
+	Deadline valid.Span `json:"deadline,omitempty"`
+	Ticket   string     `json:"ticket,omitempty"`
+	Grant    int        `json:"grant,omitempty"`
+	Tasks    []Task     `json:"tasks"`
 }
 
 // Task is one task of a submission.
 type Task struct {
 	Body json.RawMessage `json:"body"`
-	Run  doc.Span        `json:"run,omitempty"`
+	Run  valid.Span      `json:"run,omitempty"`
 	Need job.Size        `json:"need,omitzero"`
 }
 
@@ -34,7 +34,7 @@
 	Outcome string            `json:"outcome"`
 	Reason  job.Reason        `json:"reason,omitempty"`
 	Detail  string            `json:"detail,omitempty"`
-	Retry   doc.Span          `json:"retry,omitempty"`
+	Retry   valid.Span        `json:"retry,omitempty"`
 	Results []json.RawMessage `json:"results,omitempty"`
 	Grant   string            `json:"grant,omitempty"`
 	Tickets int               `json:"tickets,omitempty"`
@@ -57,8 +57,8 @@
 // length is bounded.
 func decode(text []byte) (*Job, *job.Answer) {
 	j := &Job{}
-	if err := doc.Strict(text, j); err != nil {
-		p := doc.JSONProblem("body", err)
+	if err := valid.Strict(text, j); err != nil {
+		p := valid.JSONProblem("body", err)
 		return nil, job.Refuse(job.BadRequest, 0, "%s", p)
 	}
 	if len(j.Kind) > mostKind {
@@ -108,7 +108,7 @@
 // write puts an answer into a response.
 func write(ctx *fasthttp.RequestCtx, a *job.Answer) {
 	out := Answer{
-		Outcome: a.Outcome.String(), Reason: a.Reason, Detail: a.Detail, Retry: doc.Span(a.Retry),
+		Outcome: a.Outcome.String(), Reason: a.Reason, Detail: a.Detail, Retry: valid.Span(a.Retry),
 		Grant: a.Grant, Tickets: a.Tickets,
 	}
 	for _, r := range a.Results {
--- a/internal/edge/call/server.go
+++ b/internal/edge/call/server.go
@@ -12,6 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	"dahliawinch/internal/conf/doc"
+	"dahliawinch/internal/conf/valid"
 	"dahliawinch/internal/edge/hangup"
 	"dahliawinch/internal/task/flow"
 	"dahliawinch/internal/task/job"
@@ -144,8 +145,8 @@
 func (s *Server) grant(ctx *fasthttp.RequestCtx, tenant string) {
 	c := count{Count: 1}
 	if len(ctx.PostBody()) > 0 {
-		if err := doc.Strict(ctx.PostBody(), &c); err != nil {
-			write(ctx, job.Refuse(job.BadRequest, 0, "%s", doc.JSONProblem("body", err)))
+		if err := valid.Strict(ctx.PostBody(), &c); err != nil {
+			write(ctx, job.Refuse(job.BadRequest, 0, "%s", valid.JSONProblem("body", err)))
 			return
 		}
 	}
--- a/internal/edge/oper/console.go
+++ b/internal/edge/oper/console.go
@@ -15,6 +15,7 @@
 	"dahliawinch/internal/conf/fold"
 	"dahliawinch/internal/conf/forms"
 	"dahliawinch/internal/conf/keeper"
+	"dahliawinch/internal/conf/valid"
 )
 
 // The console's pages are one narrow column for a phone, work without scripts and
@@ -151,7 +152,7 @@
 // confirm shows what would change, if the changed document is valid.
 func (s *Server) confirm(ctx *fasthttp.RequestCtx, title string, cur fold.Revision, next *doc.Document) error {
 	if ps := next.Check(); len(ps) > 0 {
-		return &doc.InvalidError{Problems: ps}
+		return &valid.Error{Problems: ps}
 	}
 	text, err := next.Encode()
 	if err != nil {
--- a/internal/edge/oper/server.go
+++ b/internal/edge/oper/server.go
@@ -20,6 +20,7 @@
 	"dahliawinch/internal/conf/doc"
 	"dahliawinch/internal/conf/fold"
 	"dahliawinch/internal/conf/keeper"
+	"dahliawinch/internal/conf/valid"
 	"dahliawinch/internal/task/flow"
 )
 
@@ -126,8 +127,8 @@
 
 // Trouble is the body of an error.
 type Trouble struct {
-	Error    string        `json:"error"`
-	Problems []doc.Problem `json:"problems,omitempty"`
+	Error    string          `json:"error"`
+	Problems []valid.Problem `json:"problems,omitempty"`
 }
 
 func reply(ctx *fasthttp.RequestCtx, code int, v any) {
@@ -191,9 +192,9 @@
 
 func (s *Server) declare(ctx *fasthttp.RequestCtx, author string) {
 	var d Declaration
-	if err := doc.Strict(ctx.PostBody(), &d); err != nil {
-		p := doc.JSONProblem("body", err)
-		reply(ctx, fasthttp.StatusBadRequest, Trouble{Error: p.String(), Problems: []doc.Problem{p}})
+	if err := valid.Strict(ctx.PostBody(), &d); err != nil {
+		p := valid.JSONProblem("body", err)
+		reply(ctx, fasthttp.StatusBadRequest, Trouble{Error: p.String(), Problems: []valid.Problem{p}})
 		return
 	}
 	if author != "" {
@@ -206,7 +207,7 @@
 	life, cancel := context.WithTimeout(context.Background(), declareWait)
 	defer cancel()
 	v, err := s.keeper.Declare(life, d.Base, d.Doc, d.Author, d.Note)
-	var invalid *doc.InvalidError
+	var invalid *valid.Error
 	switch {
 	case errors.As(err, &invalid):
 		reply(ctx, fasthttp.StatusBadRequest, Trouble{Error: "the document is invalid", Problems: invalid.Problems})
--- a/internal/edge/oper/status.go
+++ b/internal/edge/oper/status.go
@@ -4,7 +4,7 @@
 	"net/netip"
 	"time"
 
-	"dahliawinch/internal/conf/doc"
+	"dahliawinch/internal/conf/valid"
 )
 
 // Status is what a VM says of itself and of the others.
@@ -32,7 +32,7 @@
 	State  string         `json:"state"`
 	Inc    uint64         `json:"inc"`
 	Rev    uint64         `json:"rev"`
-	Heard  doc.Span       `json:"heard"` // how long ago
+	Heard  valid.Span     `json:"heard"` // how long ago
 	Free   int            `json:"free"`
 }
 
@@ -49,7 +49,7 @@
 	for _, m := range s.node.View().Members() {
 		out.Members = append(out.Members, Member{
 			VM: m.VM, Domain: m.Domain, State: m.State.String(), Inc: m.Inc, Rev: m.Beat.Rev,
-			Heard: doc.Span(st.Now.Sub(m.Heard).Round(time.Millisecond)), Free: m.Beat.Room.Free,
+			Heard: valid.Span(st.Now.Sub(m.Heard).Round(time.Millisecond)), Free: m.Beat.Room.Free,
 		})
 	}
 	return out
--- a/internal/edge/serve/settings.go
+++ b/internal/edge/serve/settings.go
@@ -11,7 +11,7 @@
 	"strings"
 	"time"
 
-	"dahliawinch/internal/conf/doc"
+	"dahliawinch/internal/conf/valid"
 )
 
 // Settings of the daemon. Times are written with their unit, such as "900ms".
@@ -24,19 +24,19 @@
 	Metrics netip.AddrPort `json:"metrics,omitzero"`
 	Store   netip.AddrPort `json:"store"`
 	// Seeds are VMs to begin with while the store is away, with the mesh's port.
-	Seeds  string   `json:"seeds,omitempty"` // addresses with commas; their ports don't count
-	Memory int      `json:"memory"`          // MiB that the process may use
-	Cores  float64  `json:"cores"`           // of a processor that it may use
-	Hold   doc.Span `json:"hold"`            // longest lease that an endpoint grants
-	Stop   doc.Span `json:"stop"`            // longest time a stop takes
-	Grace  doc.Span `json:"grace"`           // from the signal to leave until the end
-	Far    float64  `json:"far"`             // how many times longer a task runs away from its data
-	Level  string   `json:"level"`
+	Seeds  string     `json:"seeds,omitempty"` // addresses with commas; their ports don't count
+	Memory int        `json:"memory"`          // MiB that the process may use
+	Cores  float64    `json:"cores"`           // of a processor that it may use
+	Hold   valid.Span `json:"hold"`            // longest lease that an endpoint grants
+	Stop   valid.Span `json:"stop"`            // longest time a stop takes
+	Grace  valid.Span `json:"grace"`           // from the signal to leave until the end
+	Far    float64    `json:"far"`             // how many times longer a task runs away from its data
+	Level  string     `json:"level"`
 }
 
 // Defaults are what a settings file need not say.
 func Defaults() Settings {
-	return Settings{Memory: 256, Cores: 1, Hold: doc.Span(time.Second), Stop: doc.Span(50 * time.Millisecond), Grace: doc.Span(6 * time.Second), Far: 2, Level: "info"}
+	return Settings{Memory: 256, Cores: 1, Hold: valid.Span(time.Second), Stop: valid.Span(50 * time.Millisecond), Grace: valid.Span(6 * time.Second), Far: 2, Level: "info"}
 }
 
 // Read takes a settings file over and checks it.
@@ -46,20 +46,20 @@
 	if err != nil {
 		return s, fmt.Errorf("read settings: %w", err)
 	}
-	if err := doc.Strict(text, &s); err != nil {
-		return s, fmt.Errorf("settings %s: %w", path, &doc.InvalidError{Problems: []doc.Problem{doc.JSONProblem("settings", err)}})
+	if err := valid.Strict(text, &s); err != nil {
+		return s, fmt.Errorf("settings %s: %w", path, &valid.Error{Problems: []valid.Problem{valid.JSONProblem("settings", err)}})
 	}
 	if ps := s.Check(); len(ps) > 0 {
-		return s, fmt.Errorf("settings %s: %w", path, &doc.InvalidError{Problems: ps})
+		return s, fmt.Errorf("settings %s: %w", path, &valid.Error{Problems: ps})
 	}
 	return s, nil
 }
 
 // Check returns every problem of the settings.
-func (s *Settings) Check() (ps []doc.Problem) {
+func (s *Settings) Check() (ps []valid.Problem) {
 	need := func(ok bool, field string, value any, mend string) {
 		if !ok {
-			ps = append(ps, doc.Problem{Field: field, Wrong: fmt.Sprintf("%v is not usable", value), Mend: mend})
+			ps = append(ps, valid.Problem{Field: field, Wrong: fmt.Sprintf("%v is not usable", value), Mend: mend})
 		}
 	}
 	need(s.Domain != "", "domain", `""`, "name this VM's failure domain")
--- a/internal/edge/wire/pool_test.go
+++ b/internal/edge/wire/pool_test.go
@@ -16,7 +16,7 @@
 	"github.com/valyala/fasthttp"
 	"github.com/valyala/fasthttp/fasthttputil"
 
-	"dahliawinch/internal/conf/doc"
+	"dahliawinch/internal/conf/valid"
 	"dahliawinch/internal/plat/fakes"
 	"dahliawinch/internal/task/flow"
 	"dahliawinch/internal/task/place"
@@ -123,7 +123,7 @@
 
 func exchange(name string, run time.Duration, began *atomic.Int64) flow.Exchange {
 	return flow.Exchange{
-		Attempt: name, Body: fakes.Task{Job: name, Run: doc.Span(run)}.Encode(), Until: time.Now().Add(10 * time.Second),
+		Attempt: name, Body: fakes.Task{Job: name, Run: valid.Span(run)}.Encode(), Until: time.Now().Add(10 * time.Second),
 		Begin: func() bool {
 			if began != nil {
 				began.Add(1)
--- a/internal/plat/fakes/task.go
+++ b/internal/plat/fakes/task.go
@@ -6,15 +6,15 @@
 	"encoding/json"
 	"fmt"
 
-	"dahliawinch/internal/conf/doc"
+	"dahliawinch/internal/conf/valid"
 )
 
 // Task is the body of a task that the endpoint stand-in understands.
 type Task struct {
-	Job  string   `json:"job"`
-	Task int      `json:"task"`
-	Run  doc.Span `json:"run"`
-	Fail bool     `json:"fail,omitempty"`
+	Job  string     `json:"job"`
+	Task int        `json:"task"`
+	Run  valid.Span `json:"run"`
+	Fail bool       `json:"fail,omitempty"`
 }
 
 // Encode writes the task as a body.
--- a/internal/tool/local/local.go
+++ b/internal/tool/local/local.go
@@ -18,6 +18,7 @@
 	"dahliawinch/internal/base/meter"
 	"dahliawinch/internal/conf/doc"
 	"dahliawinch/internal/conf/setup"
+	"dahliawinch/internal/conf/valid"
 	"dahliawinch/internal/edge/entry"
 	"dahliawinch/internal/plat/fakes"
 	"dahliawinch/internal/plat/roster"
@@ -190,8 +191,8 @@
 	set := setup.Default()
 	set.Domain, set.Stream, set.Mesh, set.Policy = domain, d.Stream, mesh, d.Policy
 	set.Operators, set.TLS = d.Operators, d.TLS
-	set.Log, set.List, set.Linger = d.LogAt, d.ListAt, doc.Span(500*time.Millisecond)
-	set.Retention = doc.Span(max(time.Minute, d.Log.Keep))
+	set.Log, set.List, set.Linger = d.LogAt, d.ListAt, valid.Span(500*time.Millisecond)
+	set.Retention = valid.Span(max(time.Minute, d.Log.Keep))
 	var err error
 	if set.Caller, err = spare(); err != nil {
 		return nil, err
--- a/internal/tool/local/local_test.go
+++ b/internal/tool/local/local_test.go
@@ -16,7 +16,7 @@
 
 	"github.com/matryer/is"
 
-	"dahliawinch/internal/conf/doc"
+	"dahliawinch/internal/conf/valid"
 	"dahliawinch/internal/plat/fakes"
 	"dahliawinch/internal/tool/judge"
 	"dahliawinch/internal/tool/load"
@@ -77,7 +77,7 @@
 func tasks(job string, n int, run time.Duration) string {
 	list := make([]string, n)
 	for i := range list {
-		list[i] = `{"body":` + string(fakes.Task{Job: job, Task: i, Run: doc.Span(run)}.Encode()) + `}`
+		list[i] = `{"body":` + string(fakes.Task{Job: job, Task: i, Run: valid.Span(run)}.Encode()) + `}`
 	}
 	return strings.Join(list, ",")
 }
@@ -159,7 +159,7 @@
 			c := winch.NewClient(v.Settings.Caller, "demo-crew")
 			job := winch.Job{Class: "render", Kind: "hold"}
 			for k := range slots {
-				job.Tasks = append(job.Tasks, winch.Task{Body: fakes.Task{Job: fmt.Sprint("hold", i), Task: k, Run: doc.Span(time.Second)}})
+				job.Tasks = append(job.Tasks, winch.Task{Body: fakes.Task{Job: fmt.Sprint("hold", i), Task: k, Run: valid.Span(time.Second)}})
 			}
 			_, _ = c.Submit(t.Context(), job)
 		})
@@ -219,7 +219,7 @@
 	b := winch.NewClient(d.VMs[3].Settings.Caller, "demo-crew")
 	ts, err := a.Tickets(t.Context(), 3)
 	is.NoErr(err)
-	job := winch.Job{Class: "topup", Ticket: ts[0], Grant: 2, Tasks: []winch.Task{{Body: fakes.Task{Job: "t", Run: doc.Span(50 * time.Millisecond)}}}}
+	job := winch.Job{Class: "topup", Ticket: ts[0], Grant: 2, Tasks: []winch.Task{{Body: fakes.Task{Job: "t", Run: valid.Span(50 * time.Millisecond)}}}}
 	j.Submit("t", 1)
 	var wg sync.WaitGroup
 	for _, c := range []*winch.Client{a, b, a, b} {
@@ -238,7 +238,7 @@
 	ans, err := a.Submit(t.Context(), job)
 	is.NoErr(err)
 	is.Equal(ans.Outcome, winch.Refused)
-	job.Ticket, job.Tasks = ts[2], []winch.Task{{Body: fakes.Task{Job: "long", Run: doc.Span(5 * time.Second)}}}
+	job.Ticket, job.Tasks = ts[2], []winch.Task{{Body: fakes.Task{Job: "long", Run: valid.Span(5 * time.Second)}}}
 	go func() {
 		time.Sleep(100 * time.Millisecond)
 		a.Cancel(t.Context(), ts[2])
--- a/internal/tool/mix/mix.go
+++ b/internal/tool/mix/mix.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"dahliawinch/internal/conf/doc"
+	"dahliawinch/internal/conf/valid"
 	"dahliawinch/internal/plat/fakes"
 	"dahliawinch/internal/task/job"
 )
@@ -22,22 +23,22 @@
 
 // Kind is one sort of job.
 type Kind struct {
-	Name   string   `json:"name"`
-	Tenant string   `json:"tenant"`
-	Key    string   `json:"key,omitempty"` // caller key, where one is needed
-	Class  string   `json:"class"`
-	Share  float64  `json:"share"` // of the jobs
-	Least  int      `json:"least"` // tasks, log-uniform from least to most
-	Most   int      `json:"most"`
-	Run    doc.Span `json:"run"`            // median run time, log-normal
-	Sigma  float64  `json:"sigma"`          // of its logarithm
-	Tail   float64  `json:"tail,omitempty"` // part of tasks that take from Long to Longer
-	Long   doc.Span `json:"long,omitempty"`
-	Longer doc.Span `json:"longer,omitempty"`
-	Told   float64  `json:"told,omitempty"`   // declared run time over the median; 0 declares none
-	Fail   float64  `json:"fail,omitempty"`   // part of tasks that fail by themselves
-	Need   job.Size `json:"need,omitempty"`   // of each task
-	Ticket bool     `json:"ticket,omitempty"` // sent under a ticket
+	Name   string     `json:"name"`
+	Tenant string     `json:"tenant"`
+	Key    string     `json:"key,omitempty"` // caller key, where one is needed
+	Class  string     `json:"class"`
+	Share  float64    `json:"share"` // of the jobs
+	Least  int        `json:"least"` // tasks, log-uniform from least to most
+	Most   int        `json:"most"`
+	Run    valid.Span `json:"run"`            // median run time, log-normal
+	Sigma  float64    `json:"sigma"`          // of its logarithm
+	Tail   float64    `json:"tail,omitempty"` // part of tasks that take from Long to Longer
+	Long   valid.Span `json:"long,omitempty"`
+	Longer valid.Span `json:"longer,omitempty"`
+	Told   float64    `json:"told,omitempty"`   // declared run time over the median; 0 declares none
+	Fail   float64    `json:"fail,omitempty"`   // part of tasks that fail by themselves
+	Need   job.Size   `json:"need,omitempty"`   // of each task
+	Ticket bool       `json:"ticket,omitempty"` // sent under a ticket
 }
 
 // Paper is the mix of the brief's sizes: run times log-normal about 200 ms, one
@@ -46,8 +47,8 @@
 	k := func(name, tenant, class string, share float64, most int) Kind {
 		return Kind{
 			Name: name, Tenant: tenant, Class: class, Share: share, Least: 1, Most: most,
-			Run: doc.Span(200 * time.Millisecond), Sigma: 0.5,
-			Tail: 0.05, Long: doc.Span(2 * time.Second), Longer: doc.Span(5 * time.Second),
+			Run: valid.Span(200 * time.Millisecond), Sigma: 0.5,
+			Tail: 0.05, Long: valid.Span(2 * time.Second), Longer: valid.Span(5 * time.Second),
 		}
 	}
 	return Mix{Kinds: []Kind{
@@ -63,18 +64,18 @@
 	return &doc.Document{
 		Service: "mixed",
 		Classes: map[string]doc.Class{
-			"setup":  {Band: job.Urgent, Deadline: doc.Span(12 * time.Second)},
-			"render": {Band: job.Routine, Deadline: doc.Span(20 * time.Second)},
-			"night":  {Band: job.Bulk, Deadline: doc.Span(60 * time.Second)},
-			"topup":  {Band: job.Urgent, Deadline: doc.Span(12 * time.Second), Once: true, Hold: doc.Span(time.Minute)},
+			"setup":  {Band: job.Urgent, Deadline: valid.Span(12 * time.Second)},
+			"render": {Band: job.Routine, Deadline: valid.Span(20 * time.Second)},
+			"night":  {Band: job.Bulk, Deadline: valid.Span(60 * time.Second)},
+			"topup":  {Band: job.Urgent, Deadline: valid.Span(12 * time.Second), Once: true, Hold: valid.Span(time.Minute)},
 		},
 		Tenants: map[string]doc.Tenant{
 			"relief":  {Weight: 2, Keys: []string{doc.Hash("demo-relief")}},
 			"crew":    {Weight: 1, Keys: []string{doc.Hash("demo-crew")}},
 			"imprint": {Weight: 1, Keys: []string{doc.Hash("demo-imprint")}},
 		},
-		Limits:  doc.Limits{Tasks: doc.MostTasks, Bytes: 4 << 20, Deadline: doc.Span(2 * time.Minute)},
-		Reserve: 0.08, Patience: doc.Span(200 * time.Millisecond),
+		Limits:  doc.Limits{Tasks: doc.MostTasks, Bytes: 4 << 20, Deadline: valid.Span(2 * time.Minute)},
+		Reserve: 0.08, Patience: valid.Span(200 * time.Millisecond),
 	}
 }
 
@@ -85,25 +86,25 @@
 		return Mix{}, fmt.Errorf("read mix: %w", err)
 	}
 	var m Mix
-	if err := doc.Strict(text, &m); err != nil {
-		return Mix{}, &doc.InvalidError{Problems: []doc.Problem{doc.JSONProblem("mix", err)}}
+	if err := valid.Strict(text, &m); err != nil {
+		return Mix{}, &valid.Error{Problems: []valid.Problem{valid.JSONProblem("mix", err)}}
 	}
 	if ps := m.Check(); len(ps) > 0 {
-		return Mix{}, &doc.InvalidError{Problems: ps}
+		return Mix{}, &valid.Error{Problems: ps}
 	}
 	return m, nil
 }
 
 // Check returns every problem of the mix.
-func (m Mix) Check() (ps []doc.Problem) {
+func (m Mix) Check() (ps []valid.Problem) {
 	if len(m.Kinds) == 0 {
-		ps = append(ps, doc.Problem{Field: "kinds", Wrong: "is empty", Mend: "describe at least one kind of job"})
+		ps = append(ps, valid.Problem{Field: "kinds", Wrong: "is empty", Mend: "describe at least one kind of job"})
 	}
 	for i, k := range m.Kinds {
 		at := fmt.Sprintf("kinds[%d].", i)
 		bad := func(ok bool, field, wrong, mend string) {
 			if !ok {
-				ps = append(ps, doc.Problem{Field: at + field, Wrong: wrong, Mend: mend})
+				ps = append(ps, valid.Problem{Field: at + field, Wrong: wrong, Mend: mend})
 			}
 		}
 		bad(k.Share > 0, "share", fmt.Sprint(k.Share), "use more than 0")
@@ -178,7 +179,7 @@
 	for i := range n {
 		run := k.draw(r)
 		j.Runs = append(j.Runs, run)
-		t := fakes.Task{Job: name, Task: i, Run: doc.Span(run), Fail: r.Float64() < k.Fail}
+		t := fakes.Task{Job: name, Task: i, Run: valid.Span(run), Fail: r.Float64() < k.Fail}
 		j.Req.Tasks = append(j.Req.Tasks, job.Task{
 			Need: k.Need, Run: time.Duration(k.Told * float64(k.Run)), Body: t.Encode(),
 		})
--- a/internal/tool/scene/burst_test.go
+++ b/internal/tool/scene/burst_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"dahliawinch/internal/conf/doc"
+	"dahliawinch/internal/conf/valid"
 	"dahliawinch/internal/task/job"
 )
 
@@ -47,8 +48,8 @@
 	set.Mix = uniform()
 	set.Mix.Kinds = set.Mix.Kinds[:2]
 	set.Mix.Kinds[0].Share = 0.6
-	set.Mix.Kinds[1].Run, set.Mix.Kinds[1].Sigma, set.Mix.Kinds[1].Tail = doc.Span(5*time.Second), 0, 0
-	set.Doc.Classes["render"] = doc.Class{Band: job.Routine, Deadline: doc.Span(60 * time.Second)}
+	set.Mix.Kinds[1].Run, set.Mix.Kinds[1].Sigma, set.Mix.Kinds[1].Tail = valid.Span(5*time.Second), 0, 0
+	set.Doc.Classes["render"] = doc.Class{Band: job.Routine, Deadline: valid.Span(60 * time.Second)}
 	set.Load = 2
 	s := play(t, set)
 	calm, full := p99(base.Results(), "setup"), p99(s.Results(), "setup")
