--- a/internal/cli/daemon/daemon.go
+++ b/internal/cli/daemon/daemon.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -26,15 +27,22 @@
 // lookEvery is how often the settings file is looked at: it may change without a signal.
 const lookEvery = time.Second
 
-// Run runs the daemon with the settings of a file until it is told to leave; without a path the
-// file is the one that the platform names.
-func Run(path string, out io.Writer) error {
-	if path == "" {
-		path = os.Getenv(platform.SettingsVar)
+// What the command is, for its help.
+const (
+	Short = "Run the daemon of one entry VM on leased endpoints"
+	Long  = "Run the daemon of one entry VM whose endpoints are leased from a platform. The\nsettings file is named here or by the variable " + platform.SettingsVar + ". SIGHUP or a\nchange of the file takes it over again; SIGTERM hands over and ends."
+)
+
+// Run runs the daemon until it is told to leave. The first argument, or else the platform's
+// variable, names the settings file.
+func Run(args []string, out io.Writer) error {
+	path := os.Getenv(platform.SettingsVar)
+	if len(args) > 0 {
+		path = args[0]
 	}
 	set, err := serve.Read(path)
 	if err != nil {
-		return &SettingsError{err}
+		return fmt.Errorf("daemon: %w", err)
 	}
 	bound(set)
 	lines := sink.New(out)
@@ -51,22 +59,35 @@
 		Callers: platform.Callers, Ready: platform.Ready,
 	}, log)
 	if err != nil {
-		return fmt.Errorf("start: %w", err)
+		return &failure{fmt.Errorf("start: %w", err)}
 	}
 	go follow(kill, path, log, d.Reload)
 	if err := d.Run(kill, leave); err != nil {
-		return fmt.Errorf("run: %w", err)
+		return &failure{fmt.Errorf("run: %w", err)}
 	}
 	return nil
 }
 
-// SettingsError says that the settings can't be used; nothing was started.
-type SettingsError struct{ Err error }
+// The exit codes of a daemon that did not end as it was told to.
+const (
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+// Code is the exit code for an error: a daemon that ran failed, all else is a wrong call.
+func Code(err error) int {
+	var failed *failure
+	if errors.As(err, &failed) {
+		return exitFailed
+	}
+	return exitUsage
+}
 
-func (e *SettingsError) Error() string { return e.Err.Error() }
+// failure is an error of a daemon whose settings are good.
+type failure struct{ err error }
 
-// Unwrap returns what is wrong with them.
-func (e *SettingsError) Unwrap() error { return e.Err }
+func (f *failure) Error() string { return f.err.Error() }
+func (f *failure) Unwrap() error { return f.err }
 
 // Signals returns a context that the first signal ends, and one for the second.
 func Signals() (first, second context.Context, stop func()) {
