Follower: reads on at once only if something came

Cause: a topic that names an end beyond what it gives would have been asked without a pause. Found while reading the change; TestRecordLargerThanAReadHoldsUpNoOthers plays such a source. Two findings of the linter go with it.

--- a/internal/mesh/frame/frame.go
+++ b/internal/mesh/frame/frame.go
@@ -80,7 +80,7 @@
 	if err == nil && len(body) < n {
 		err = io.ErrUnexpectedEOF
 	}
-	return body, err //nolint:wrapcheck // the caller says what was read
+	return body, err
 }
 
 // unexpected makes an end before the first byte one in the midst of a frame.
--- a/internal/plat/feed/feed.go
+++ b/internal/plat/feed/feed.go
@@ -98,13 +98,12 @@
 // Run follows until ctx ends.
 func (f *Follower[T]) Run(ctx context.Context) {
 	var next int64
-	known, more, down := false, false, false
+	known, down := false, false
 	back, start := backLeast, time.Now()
 	f.most = f.Pace.Most
 	for ctx.Err() == nil {
 		began := time.Now()
-		var err error
-		more, err = f.read(ctx, &known, &next)
+		more, err := f.read(ctx, &known, &next)
 		switch {
 		case errors.Is(err, ErrGone):
 			f.Log.Info("store history gone", "feed", f.Name, "from", next)
@@ -146,14 +145,15 @@
 		return false, err
 	}
 	f.most = f.Pace.Most
-	if b.Next == *next { // a record that is larger than the bound must not hold up the others
+	if b.Next == *next && b.Next < b.End { // a record larger than the bound must not hold up the others
 		f.most = 0
 	}
+	more = b.Next > *next && b.Next < b.End
 	*next = b.Next
 	if len(b.All) > 0 {
 		f.apply(b.All, false)
 	}
-	return b.Next < b.End, nil
+	return more, nil
 }
 
 // apply passes on what could be read. One record that can't be must not hold up the
