Owners whose orders take three times the others' get fewer jobs

Cause: an owner that turned ten times slower kept getting jobs, since its endpoints had room; their orders queued.

Change: an owner's load tells what orders take it; what is over three times the owners' median counts as wait when a job is routed.

--- a/internal/base/pace/pace.go
+++ b/internal/base/pace/pace.go
@@ -141,6 +141,13 @@
 	p.dev += time.Duration(devGain * (max(float64(d), -float64(d)) - float64(p.dev)))
 }
 
+// Usual is how long calls have taken lately, whatever was on its way.
+func (p *Pace) Usual() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.crowd.took
+}
+
 // Expect is how long the last of so many calls takes if they are sent now.
 func (p *Pace) Expect(calls int) time.Duration {
 	p.mu.Lock()
--- a/internal/edge/serve/beat.go
+++ b/internal/edge/serve/beat.go
@@ -120,7 +120,7 @@
 func (d *Node) tell() {
 	now := d.now()
 	d.mu.Lock()
-	l := d.book.Load(now)
+	l := d.load(now)
 	if d.leaving.Load() {
 		l = owner.Load{}
 	}
@@ -136,6 +136,16 @@
 	d.parts.Mesh.Spread(to, &m)
 }
 
+// lagStep is how finely the time of an order is told: a change of it alone is no news.
+const lagStep = 4 * time.Millisecond
+
+// load is what others need to know of this VM as an owner; the caller holds the lock.
+func (d *Node) load(now time.Time) owner.Load {
+	l := d.book.Load(now)
+	l.Lag = d.pace.Usual().Truncate(lagStep)
+	return l
+}
+
 // listeners are the VMs that need to know this one's load. One that leaves still has
 // callers, and needs to know where to send their jobs.
 func (d *Node) listeners(now time.Time) (to []netip.AddrPort) {
@@ -148,19 +158,19 @@
 }
 
 func (d *Node) hear(now time.Time, vm netip.AddrPort, l owner.Load, near bool, next time.Duration) {
-	d.table.Hear(vm, route.Load{At: now, Free: l.Free, Total: l.Total, Ahead: l.Ahead, Near: near, Next: next})
+	d.table.Hear(vm, route.Load{At: now, Free: l.Free, Total: l.Total, Ahead: l.Ahead, Lag: l.Lag, Near: near, Next: next})
 }
 
 // loadFrame is a load as it is told; the caller holds the lock.
 func (d *Node) loadFrame(l owner.Load) frame.Load {
 	return frame.Load{
 		Free: float32(l.Free), Total: float32(l.Total), Ahead: [3]float32{float32(l.Ahead[0]), float32(l.Ahead[1]), float32(l.Ahead[2])},
-		Next: max(repeatEvery, d.loadPause),
+		Next: max(repeatEvery, d.loadPause), Lag: l.Lag,
 	}
 }
 
 func loadOf(m frame.Load) owner.Load {
-	return owner.Load{Free: float64(m.Free), Total: float64(m.Total), Ahead: [3]float64{float64(m.Ahead[0]), float64(m.Ahead[1]), float64(m.Ahead[2])}}
+	return owner.Load{Free: float64(m.Free), Total: float64(m.Total), Ahead: [3]float64{float64(m.Ahead[0]), float64(m.Ahead[1]), float64(m.Ahead[2])}, Lag: m.Lag}
 }
 
 // handFor is how old a Hand may be. One that waited longer was read by a VM that had been
--- a/internal/mesh/frame/msg.go
+++ b/internal/mesh/frame/msg.go
@@ -192,6 +192,7 @@
 	Total    float32  // cores open to work
 	Ahead    [3]float32
 	Next     time.Duration // until it is told again, at the latest
+	Lag      time.Duration // what an order takes the sender
 }
 
 // Planned passes on what the sender read of the configuration.
--- a/internal/task/owner/sites.go
+++ b/internal/task/owner/sites.go
@@ -116,9 +116,10 @@
 
 // Load is what other VMs need to know to send jobs here.
 type Load struct {
-	Free  float64    // cores that a job could use now
-	Total float64    // cores that are open to work
-	Ahead [3]float64 // core-seconds waiting and running, of ranks up to 0, 1 and any
+	Free  float64       // cores that a job could use now
+	Total float64       // cores that are open to work
+	Ahead [3]float64    // core-seconds waiting and running, of ranks up to 0, 1 and any
+	Lag   time.Duration // what orders take the owner
 }
 
 // Load sums up the state for the other VMs.
--- a/internal/task/route/route.go
+++ b/internal/task/route/route.go
@@ -31,6 +31,7 @@
 	Free  float64       // cores that a job could use
 	Total float64       // cores open to work
 	Ahead [3]float64    // core-seconds before a job of a rank
+	Lag   time.Duration // what an order takes there
 	Near  bool          // in this VM's failure domain, or this VM itself
 	Next  time.Duration // until the next word
 	sent  float64       // cores of jobs sent there since
@@ -44,6 +45,7 @@
 type Table struct {
 	all  map[netip.AddrPort]*Load
 	down map[netip.AddrPort]time.Time // could not be reached, since when
+	lags []time.Duration              // filled anew for each job
 }
 
 // New returns an empty table.
@@ -83,11 +85,12 @@
 // Pick returns the best owner for a job that was not tried yet; invalid if there is none.
 func (t *Table) Pick(now time.Time, rank int, cores float64, tried []netip.AddrPort) (best netip.AddrPort) {
 	var low time.Duration
+	lag := lagOver * t.lag(now)
 	for vm, l := range t.all {
 		if slices.Contains(tried, vm) || !t.open(vm, l, now) {
 			continue
 		}
-		w := l.wait(rank, cores)
+		w := l.wait(rank, cores) + max(0, l.Lag-lag)
 		if !best.IsValid() || w < low || (w == low && vm.Compare(best) < 0) {
 			best, low = vm, w
 		}
@@ -95,6 +98,34 @@
 	return best
 }
 
+// lagOver is how many times what orders take the other owners an order must take one for it to
+// count as slow.
+//
+// What goes wrong without it: an owner whose link or processor has turned slow has endpoints with
+// room and can't use them, so it gets ever more jobs. One notices late jobs of one owner. An owner
+// of four that can send ten times less: 0.99 instead of 0.91 in aim (eight plays in virtual time).
+// To count all differences is worse than none: they pass sooner than they are told, and all jobs go
+// to whoever was quickest, 0.72 instead of 0.89 of a calm day's worth on links of 2 Mbit/s.
+const lagOver = 3
+
+// lag is what orders take half of the owners at most.
+func (t *Table) lag(now time.Time) time.Duration {
+	t.lags = t.lags[:0]
+	for vm, l := range t.all {
+		if t.open(vm, l, now) {
+			t.lags = append(t.lags, l.Lag)
+		}
+	}
+	if len(t.lags) == 0 {
+		return 0
+	}
+	slices.Sort(t.lags)
+	return max(leastLag, t.lags[(len(t.lags)-1)/2])
+}
+
+// leastLag is what an order takes a VM with time and bandwidth to spare.
+const leastLag = 5 * time.Millisecond
+
 // mean is the time in which a pool's cores are thought to turn over once.
 const mean = 250 * time.Millisecond
 
--- a/internal/task/route/route_test.go
+++ b/internal/task/route/route_test.go
@@ -57,3 +57,22 @@
 	tab.Hear(a, Load{At: t0.Add(2 * downFor), Free: 900, Total: 900})
 	is.Equal(tab.Pick(t0.Add(2*downFor), 0, 1, nil), a)
 }
+
+// Symptom: all jobs go to one owner after the other. Sequence: what orders take the owners differs
+// a little, and passes sooner than it is told. Cause: each difference counts. Only an owner that is
+// far slower than the others gets fewer jobs.
+func TestOnlyOwnersFarSlowerThanOthersAreLeftOut(t *testing.T) {
+	is := is.New(t)
+	vms := []netip.AddrPort{a, b, netip.MustParseAddrPort("10.0.0.3:1"), netip.MustParseAddrPort("10.0.0.4:1")}
+	hear := func(lags ...int) *Table {
+		tab := New()
+		for i, lag := range lags {
+			tab.Hear(vms[i], Load{At: t0, Free: 900 - float64(i), Total: 900, Near: true, Lag: time.Duration(lag) * time.Millisecond})
+		}
+		return tab
+	}
+	is.Equal(hear(40, 20, 20, 30).Pick(t0, 1, 54, nil), a) // all are slow alike: the emptiest
+	is.Equal(hear(14, 2, 2, 2).Pick(t0, 1, 54, nil), a)    // none is
+	is.Equal(hear(60, 2, 2, 2).Pick(t0, 1, 54, nil), b)
+	is.Equal(hear(200).Pick(t0, 1, 54, nil), a) // there is no other
+}
--- a/internal/tool/grid/narrow_test.go
+++ b/internal/tool/grid/narrow_test.go
@@ -69,5 +69,5 @@
 		at := hit + time.Duration(2*s)*time.Second
 		t.Logf("%s after: %+v", at-hit, g.Counts(every, at, at+2*time.Second))
 	}
-	is.True(g.Counts(every, hit+2*time.Second, hit+8*time.Second).Share() >= 0.9)
+	is.True(g.Counts(every, hit+2*time.Second, hit+8*time.Second).Share() >= 0.95)
 }
