Orders of one job are counted on their way together

Change: what is decided together is counted together, and has one time limit; each keeps a place for the estimate of how time grows with the number on the way.

--- a/internal/base/pace/pace.go
+++ b/internal/base/pace/pace.go
@@ -108,12 +108,16 @@
 	p.last, p.row = now, 0
 }
 
-// Begin counts a call as on its way and returns how many are, this one included, and how long
-// it may take. End must follow.
-func (p *Pace) Begin() (way int, timeout time.Duration) {
+// Begin counts calls that are sent together as on their way and returns how many are, these
+// included, and how long each of them may take. An End for each must follow.
+//
+// What goes wrong if each is counted as it is sent: the calls of one job go out in any order, so one
+// that was counted early and waits for the link behind the others has the time of an early place. It
+// is taken for lost though it is on its way. One notices orders without an answer on narrow links.
+func (p *Pace) Begin(calls int) (way int, timeout time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.way++
+	p.way += calls
 	return p.way, p.timeout(p.way)
 }
 
--- a/internal/base/pace/pace_test.go
+++ b/internal/base/pace/pace_test.go
@@ -86,7 +86,7 @@
 	}
 	var all []sent
 	for i := range calls {
-		way, limit := p.Begin()
+		way, limit := p.Begin(1)
 		took := q.base + time.Duration(i+1)*q.each
 		if took > limit {
 			lost++
@@ -132,6 +132,6 @@
 		queue{20 * time.Microsecond, 3 * time.Millisecond}.job(p, now, 2+r.IntN(15))
 		now = now.Add(100 * time.Millisecond)
 	}
-	_, limit := p.Begin()
+	_, limit := p.Begin(1)
 	is.Equal(limit, 25*time.Millisecond)
 }
--- a/internal/edge/serve/perform.go
+++ b/internal/edge/serve/perform.go
@@ -42,9 +42,12 @@
 		if len(acts.Starts)+len(acts.Stops)+len(acts.Tells)+len(acts.Wakes) == 0 {
 			return
 		}
-		for i := range acts.Starts {
-			s := acts.Starts[i]
-			d.wg.Go(func() { d.start(s) })
+		if n := len(acts.Starts); n > 0 {
+			way, limit := d.pace.Begin(n)
+			for i := range acts.Starts {
+				s, place := acts.Starts[i], way-n+1+i
+				d.wg.Go(func() { d.start(s, place, limit) })
+			}
 		}
 		for i := range acts.Stops {
 			s := acts.Stops[i]
@@ -75,20 +78,22 @@
 func target(ep *lease.Endpoint) agent.Target { return agent.Target{ID: ep.ID, Addr: ep.Addr} }
 
 // start orders a run. An order without an answer is repeated with the same number, which
-// does nothing where the run is or was there; nothing else finds out as soon whether it is.
-func (d *Node) start(s owner.Start) {
+// does nothing where the run is or was there; nothing else finds out as soon whether it is. The first
+// is counted as on its way already, has a place there and a time limit.
+func (d *Node) start(s owner.Start, place int, limit time.Duration) {
 	d.parts.Meter.Start()
 	n := lease.Name{Task: s.Run.Name, Num: s.Run.Num}
 	o := agent.Start{Name: n, Spec: s.Spec, Until: s.Until, Fence: s.Fence}
 	silent, err := 0, error(nil)
-	for silent < startTries {
-		if err = d.order(s.At, o); !agent.Unanswered(err) {
+	for {
+		if err = d.order(s.At, o, place, limit); !agent.Unanswered(err) {
 			break
 		}
 		silent++
-		if !d.missed(s) {
+		if !d.missed(s) || silent == startTries {
 			break
 		}
+		place, limit = d.pace.Begin(1)
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -100,10 +105,9 @@
 	d.perform()
 }
 
-// order sends a start once.
-func (d *Node) order(ep *lease.Endpoint, o agent.Start) error {
+// order sends a start once that is counted as on its way.
+func (d *Node) order(ep *lease.Endpoint, o agent.Start, place int, limit time.Duration) error {
 	began := d.now()
-	way, limit := d.pace.Begin()
 	defer d.pace.End()
 	ctx, cancel := context.WithTimeout(d.ctx, limit)
 	defer cancel()
@@ -112,7 +116,7 @@
 	case agent.Unanswered(err):
 		d.pace.Miss(began)
 	case !errors.Is(err, agent.ErrUnsent):
-		d.pace.Note(d.now(), d.now().Sub(began), way)
+		d.pace.Note(d.now(), d.now().Sub(began), place)
 	}
 	return err
 }
