--- a/internal/plat/fakes/list.go
+++ b/internal/plat/fakes/list.go
@@ -12,6 +12,7 @@
 type List struct {
 	mu   sync.Mutex
 	lag  time.Duration
+	slow time.Duration // before each answer
 	past []stamped
 }
 
@@ -33,8 +34,21 @@
 	l.past = append(l.past, stamped{time.Now(), next})
 }
 
+// Slow delays all answers.
+func (l *List) Slow(d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.slow = d
+}
+
 // List implements roster.Source.
-func (l *List) List(context.Context) (roster.List, error) {
+func (l *List) List(ctx context.Context) (roster.List, error) {
+	l.mu.Lock()
+	slow := l.slow
+	l.mu.Unlock()
+	if err := nap(ctx, slow); err != nil {
+		return roster.List{}, err
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	shown := l.past[0].list
--- a/internal/task/flow/stats.go
+++ b/internal/task/flow/stats.go
@@ -11,6 +11,7 @@
 	VM     netip.AddrPort
 	Domain string
 	Inc    uint64
+	Known  int // endpoints of the platform's list
 	Slots  int // that this VM may use by health
 	Free   int
 	Out    int // endpoints ejected
@@ -22,6 +23,6 @@
 	slots, free := n.table.Slots(now)
 	return Stats{
 		Now: now, VM: n.cfg.Self, Domain: n.cfg.Domain, Inc: n.cfg.Inc,
-		Slots: slots, Free: free, Out: len(n.health.Out()),
+		Known: n.table.Known(), Slots: slots, Free: free, Out: len(n.health.Out()),
 	}
 }
--- a/internal/tool/local/local.go
+++ b/internal/tool/local/local.go
@@ -32,7 +32,8 @@
 	VMs       int
 	Endpoints int
 	Slots     int
-	Lag       time.Duration
+	Lag       time.Duration // of the platform's list
+	Slow      time.Duration // of its answers
 	Stream    string
 	Policy    string
 	Operators map[string]string // key hashes by name
@@ -156,6 +157,7 @@
 		list.VMs = append(list.VMs, roster.VM{Mesh: at, Domain: DomainName(i % d.Domains)})
 	}
 	d.List = fakes.NewList(d.Lag, list)
+	d.List.Slow(d.Slow)
 	if err := d.platform(); err != nil {
 		return err
 	}
@@ -229,7 +231,7 @@
 }
 
 // Declare puts a document in force through the log, by way of the first VM, and
-// returns when every VM has it.
+// returns when every VM has it, hears the others and knows the endpoints.
 func (d *Deployment) Declare(ctx context.Context, document *doc.Document) error {
 	text, err := document.Encode()
 	if err != nil {
@@ -249,7 +251,23 @@
 	if err := d.InForce(ctx, v.Rev); err != nil {
 		return err
 	}
-	return d.Joined(ctx)
+	return errors.Join(d.Joined(ctx), d.known(ctx))
+}
+
+// known returns when every VM has read the platform's list.
+func (d *Deployment) known(ctx context.Context) error {
+	for _, v := range d.VMs {
+		for len(d.Endpoints) > 0 && v.Daemon.Node().Stats().Known == 0 {
+			select {
+			case <-v.done:
+				return nil
+			case <-ctx.Done():
+				return fmt.Errorf("await endpoints: %w", ctx.Err())
+			case <-time.After(10 * time.Millisecond):
+			}
+		}
+	}
+	return nil
 }
 
 var errLost = errors.New("another declaration was first")
--- a/internal/tool/local/local_test.go
+++ b/internal/tool/local/local_test.go
@@ -52,6 +52,19 @@
 	return d
 }
 
+// Symptom: the first job after a document was put in force is refused, "no endpoint is known", on a
+// busy machine. Sequence: the document is in force on a VM that has not read the platform's list yet.
+// Cause: whoever declares is told that the deployment is ready by the document alone.
+func TestDeclaredDeploymentKnowsItsEndpoints(t *testing.T) {
+	is := is.New(t)
+	d := upWith(t, judge.New(), func(s *Shape) { s.Domains, s.VMs, s.Slow = 1, 1, time.Second })
+	c := winch.NewClient(d.VMs[0].Settings.Caller, "demo-crew")
+	a, err := c.Submit(t.Context(), winch.Job{Class: "render", Deadline: 5 * time.Second, Tasks: []winch.Task{{Body: map[string]any{"job": "page", "task": 0, "run": "5ms"}}}})
+	is.NoErr(err)
+	is.Equal(a.Detail, "")
+	is.Equal(a.Outcome, winch.Done)
+}
+
 func post(t *testing.T, d *Deployment, path, key string, body io.Reader) (int, map[string]any) {
 	t.Helper()
 	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+d.VMs[0].Settings.Caller.String()+path, body)
