Of two equal fences one gives way

Their logs show group perth-b/13 claimed by both in the same millisecond with fence: the low 8 bits of their addresses' hashes are alike (one pair in 256). Endpoints obeyed both, neither gave way to a fence that was not higher, for good. Change: 12 low bits (one pair in 4,096), and of equal fences the higher address keeps the group. TestOneOfTwoEqualFencesGivesWay fails without the second.

--- a/internal/mesh/claim/claim.go
+++ b/internal/mesh/claim/claim.go
@@ -41,8 +41,9 @@
 	// step is added to a fence that proved too low. Fences start from the time of day,
 	// which differs between VMs by a few seconds at most.
 	step = 10_000 << spare
-	// spare low bits keep fences of different VMs apart.
-	spare = 8
+	// spare low bits keep fences of different VMs apart that claim in the same millisecond. With
+	// them a fence of today's time of day stays below 2^53, up to which JSON numbers are exact.
+	spare = 12
 )
 
 // Peer is another VM as this one sees it.
@@ -270,7 +271,7 @@
 // keep looks at a group that this VM owns.
 func (b *Book) keep(now time.Time, g Seat, mine *Own, on claimant, leaving bool, peers []Peer) (Change, bool) {
 	switch {
-	case on.kept && on.fence > mine.Fence && !mine.Giving:
+	case on.kept && on.above(mine.Fence, b.self) && !mine.Giving:
 		delete(b.own, g.Group)
 		return Change{Group: g.Group, Fence: on.fence, Lost: true, Why: "a VM has a higher fence"}, true
 	case mine.Giving:
@@ -313,10 +314,21 @@
 // claimant is who claims a group among the live peers.
 type claimant struct {
 	kept   bool           // one of them keeps it,
-	fence  uint64         // by the highest fence
+	fence  uint64         // by the highest fence,
+	by     netip.AddrPort // which is this VM's
 	giving netip.AddrPort // one hands it over
 }
 
+// above reports whether a claim goes before another VM's with a fence. Of equal fences the higher
+// address goes first.
+//
+// What goes wrong without that: two VMs whose addresses share their low bits claim one group in the
+// same millisecond. Endpoints obey both, neither gives way, and each stops what the other starts. One
+// notices starts refused for want of room, and orphans, at the endpoints of one group.
+func (c claimant) above(fence uint64, vm netip.AddrPort) bool {
+	return c.fence > fence || (c.fence == fence && c.by.Compare(vm) > 0)
+}
+
 // sum adds up the claims of live peers; it is done once for all groups, since each has many and
 // there are many peers.
 func sum(all map[Group]claimant, peers []Peer) {
@@ -331,7 +343,10 @@
 				if c.Giving {
 					x.giving = p.VM
 				} else {
-					x.kept, x.fence = true, max(x.fence, c.Fence)
+					if x.above(c.Fence, p.VM) {
+						continue
+					}
+					x.kept, x.fence, x.by = true, c.Fence, p.VM
 				}
 				all[g] = x
 			}
--- a/internal/mesh/claim/claim_test.go
+++ b/internal/mesh/claim/claim_test.go
@@ -110,6 +110,25 @@
 	is.True(k.Owns(x) == nil)
 }
 
+// Symptom: thousands of starts are refused for want of room on a calm day, and what runs is stopped
+// as an orphan. Sequence: two VMs claim one group in the same millisecond, with fences whose low
+// bits, of their addresses' hashes, are alike. Cause: endpoints obey equal fences of both, and
+// neither VM gives way to one that is not higher.
+func TestOneOfTwoEqualFencesGivesWay(t *testing.T) {
+	is := is.New(t)
+	ka, kb := New(a, "x", 1, t0), New(b, "x", 1, t0)
+	ka.Decide(t0.Add(settle), false, gs[:1], nil)
+	kb.Decide(t0.Add(settle), false, gs[:1], nil)
+	kb.Owns(x).Fence = ka.Owns(x).Fence
+	tell := func(vm netip.AddrPort, k *Book) []Peer {
+		return []Peer{{VM: vm, Domain: "x", Live: true, Claims: []frame.Claim{{Domain: "x", Shards: 1, Fence: k.Owns(x).Fence}}}}
+	}
+	of, to := tell(a, ka), tell(b, kb)
+	ka.Decide(t0.Add(time.Second), false, gs[:1], to)
+	kb.Decide(t0.Add(time.Second), false, gs[:1], of)
+	is.True((ka.Owns(x) == nil) != (kb.Owns(x) == nil))
+}
+
 func TestLeavingAndForeignOwnersHandOver(t *testing.T) {
 	is := is.New(t)
 	k := New(a, "x", 1, t0)
