Units of endpoints are evened out among the VMs of a domain

Cause: hashing gives one of five VMs 19 endpoints and another one; an owner moved a unit only to a neighbour with none. Change: an owner of several units hands one to the neighbour with the least to carry for each core, if that has less than itself then. Who takes it over follows from what all have told, and each VM reckons of itself with the figure that it tells, or two that are alike both take it.

--- a/internal/mesh/claim/claim.go
+++ b/internal/mesh/claim/claim.go
@@ -80,6 +80,8 @@
 	// claims is filled anew by each round; a map for each would be a fifth of all that a VM
 	// among 97 allocates.
 	claims map[Group]claimant
+	// units counts the units of the own domain that each VM owns; filled anew by each round.
+	units map[netip.AddrPort]int
 }
 
 // rest is how long a group is left alone for which another VM had a higher fence.
@@ -97,7 +99,9 @@
 
 // New returns a book without claims.
 func New(self netip.AddrPort, domain string, power float64, now time.Time) *Book {
-	return &Book{self: self, domain: domain, power: power, began: now, own: map[Group]*Own{}, shun: map[Group]*rest{}, claims: map[Group]claimant{}}
+	// As heartbeats tell it: what one VM reckons of another must be what that one reckons of itself.
+	power = float64(float32(power))
+	return &Book{self: self, domain: domain, power: power, began: now, own: map[Group]*Own{}, shun: map[Group]*rest{}, claims: map[Group]claimant{}, units: map[netip.AddrPort]int{}}
 }
 
 // Owns returns the claim on a group, or nil.
@@ -186,13 +190,14 @@
 		}
 	}
 	fence := uint64(0) // one for all groups of a round, so that a heartbeat names it once
+	b.count(seats, peers)
 	spare := b.spare(now, seats, peers)
 	for _, g := range seats {
 		on := b.claims[g.Group]
 		if mine := b.own[g.Group]; mine != nil {
 			if spare != "" && g.key() == spare && !mine.Giving {
 				mine.Giving = true
-				changes = append(changes, Change{Group: g.Group, Fence: mine.Fence, Giving: true, Why: "a VM that owns nothing is better placed"})
+				changes = append(changes, Change{Group: g.Group, Fence: mine.Fence, Giving: true, Why: "a neighbour has less to carry"})
 				continue
 			}
 			if c, ok := b.keep(now, g, mine, on, leaving, peers); ok {
@@ -200,7 +205,7 @@
 			}
 			continue
 		}
-		if leaving || on.kept || b.shunned(now, g) || !b.settled(now, g, peers) || b.best(g, peers, on.giving) != b.self {
+		if leaving || on.kept || b.shunned(now, g) || !b.settled(now, g, peers) || b.best(now, g, peers, on.giving) != b.self {
 			continue
 		}
 		if fence == 0 {
@@ -212,40 +217,6 @@
 	return changes
 }
 
-// spare returns the unit that this VM should hand over, if any: it has several, and the VM
-// of the domain that is best placed for one has none.
-//
-// What goes wrong without it: whoever is there first, or is left when the others restart,
-// owns all units of a domain for as long as it lives, and can't keep up with a burst while
-// its neighbours are idle. An owner moves one unit at a time, and only after a while in
-// which nothing changed, so that a VM that keeps restarting gets none.
-func (b *Book) spare(now time.Time, seats []Seat, peers []Peer) (unit string) {
-	units := map[string]Seat{}
-	for _, g := range seats {
-		o := b.own[g.Group]
-		switch {
-		case o == nil || g.Domain != b.domain:
-		case o.Giving || now.Sub(o.since) < calm:
-			return ""
-		default:
-			units[g.key()] = g
-		}
-	}
-	if len(units) < 2 {
-		return ""
-	}
-	for key, g := range units {
-		best := b.best(g, peers, netip.AddrPort{})
-		idle := slices.ContainsFunc(peers, func(p Peer) bool {
-			return p.VM == best && p.Domain == b.domain && !p.Silent && len(p.Claims) == 0 && now.Sub(p.Since) >= calm
-		})
-		if idle && (unit == "" || key < unit) {
-			unit = key
-		}
-	}
-	return unit
-}
-
 // settled reports whether this VM has watched long enough to claim a group. A VM whose
 // domain is not known may be a neighbour.
 func (b *Book) settled(now time.Time, g Seat, peers []Peer) bool {
@@ -356,8 +327,12 @@
 
 // best returns the VM that should own a group that nobody owns: one of its own domain,
 // else any, by rendezvous hashing weighted by what each can carry, so that a VM's groups
-// spread over all others when it goes.
-func (b *Book) best(g Seat, peers []Peer, giving netip.AddrPort) (best netip.AddrPort) {
+// spread over all others when it goes. What an owner that stays hands over goes to the VM with
+// the least to carry.
+func (b *Book) best(now time.Time, g Seat, peers []Peer, giving netip.AddrPort) (best netip.AddrPort) {
+	if vm := b.relief(now, g, peers, giving); vm.IsValid() {
+		return vm
+	}
 	top, near, key := 0.0, false, g.key()
 	look := func(vm netip.AddrPort, domain string, power float64) {
 		w := weight(key, vm, power)
--- a/internal/mesh/claim/claim_test.go
+++ b/internal/mesh/claim/claim_test.go
@@ -160,7 +160,7 @@
 	strong := 0
 	for i := range 400 {
 		g := Seat{Group: x, Unit: i}
-		if k.best(g, []Peer{{VM: b, Domain: "x", Live: true, Power: 0.8}}, netip.AddrPort{}) == b {
+		if k.best(t0, g, []Peer{{VM: b, Domain: "x", Live: true, Power: 0.8}}, netip.AddrPort{}) == b {
 			strong++
 		}
 	}
@@ -210,7 +210,7 @@
 	cs := k.Decide(came.Add(calm), false, many, idle)
 	is.Equal(len(cs), 2) // both groups of one unit
 	is.True(cs[0].Giving && cs[1].Giving)
-	is.Equal(k.best(many[cs[0].Group.Shard], idle, netip.AddrPort{}), b)
+	is.Equal(k.best(came.Add(calm), many[cs[0].Group.Shard], idle, netip.AddrPort{}), b)
 	is.Equal(len(k.Decide(came.Add(calm), false, many, idle)), 0) // one at a time
 	for _, c := range cs {
 		k.Drop(c.Group)
