--- a/internal/edge/serve/node.go
+++ b/internal/edge/serve/node.go
@@ -141,6 +141,11 @@
 	d.view.Links(farLinks)
 	d.relay()
 	d.Learn(cfg.Seeds)
+	parts.Meter.Gauge("cordoned_domains", "Failure domains whose endpoints get no new work.", func() float64 {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		return float64(len(d.cordons))
+	})
 	return d
 }
 
