--- a/internal/tool/local/local.go
+++ b/internal/tool/local/local.go
@@ -104,8 +104,8 @@
 
 func init() { nextPort.Store(uint32(os.Getpid()*61) % ports) }
 
-// spare finds a free port.
-func spare() (netip.AddrPort, error) {
+// Spare finds a free port on loopback that no other deployment of this process gets.
+func Spare() (netip.AddrPort, error) {
 	var last error
 	for range 100 {
 		at := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(lowPort+nextPort.Add(1)%ports))
@@ -150,7 +150,7 @@
 		d.group.Go(func() error { return fakes.ServeEndpoint(d.ctx, e, l) })
 	}
 	for i := range d.Shape.VMs {
-		at, err := spare()
+		at, err := Spare()
 		if err != nil {
 			return err
 		}
@@ -196,10 +196,10 @@
 	set.Log, set.List, set.Linger = d.LogAt, d.ListAt, valid.Span(500*time.Millisecond)
 	set.Retention = valid.Span(max(time.Minute, d.Log.Keep))
 	var err error
-	if set.Caller, err = spare(); err != nil {
+	if set.Caller, err = Spare(); err != nil {
 		return nil, err
 	}
-	if set.Operator, err = spare(); err != nil {
+	if set.Operator, err = Spare(); err != nil {
 		return nil, err
 	}
 	life, kill := context.WithCancel(d.ctx)
--- a/internal/tool/soak/soak.go
+++ b/internal/tool/soak/soak.go
@@ -20,6 +20,7 @@
 	"dahliawinch/internal/task/job"
 	"dahliawinch/internal/task/lease"
 	"dahliawinch/internal/tool/grid"
+	"dahliawinch/internal/tool/local"
 	"dahliawinch/platform/stand"
 )
 
@@ -162,21 +163,11 @@
 	return nil
 }
 
-// free returns an address that nobody listens on.
-func free() (netip.AddrPort, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return netip.AddrPort{}, fmt.Errorf("find a port: %w", err)
-	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().(*net.TCPAddr).AddrPort(), nil
-}
-
 func (s *Soak) settings(i int) (*vm, error) {
 	var at [3]netip.AddrPort
 	for k := range at {
 		var err error
-		if at[k], err = free(); err != nil {
+		if at[k], err = local.Spare(); err != nil {
 			return nil, err
 		}
 	}
