--- a/internal/edge/serve/perform.go
+++ b/internal/edge/serve/perform.go
@@ -84,7 +84,8 @@
 	d.parts.Meter.Start()
 	n := lease.Name{Task: s.Run.Name, Num: s.Run.Num}
 	o := agent.Start{Name: n, Spec: s.Spec, Until: s.Until, Fence: s.Fence}
-	silent, err := 0, error(nil)
+	silent := 0
+	var err error
 	for {
 		if err = d.order(s.At, o, place, limit); !agent.Unanswered(err) {
 			break
