--- a/internal/conf/plan/decl.go
+++ b/internal/conf/plan/decl.go
@@ -5,9 +5,8 @@
 // Decl is one thing that operators declare and that stands until they take it back: a version of
 // the configuration, or that a failure domain is cordoned.
 type Decl struct {
-	Plan *Plan
-	// Cordon names a failure domain whose endpoints get no new work.
-	Cordon string
+	Plan   *Plan  // nil in a cordon
+	Cordon string // the failure domain whose endpoints get no new work; empty in a configuration
 }
 
 const (
--- a/internal/edge/serve/beat.go
+++ b/internal/edge/serve/beat.go
@@ -103,7 +103,7 @@
 
 // pulse is this VM's heartbeat; the caller holds the lock.
 func (d *Node) pulse(now time.Time) *frame.Beat {
-	b := d.bareBeat(now)
+	b := &frame.Beat{At: now, Leaving: d.leaving.Load(), Doubts: d.view.Doubts(now), Power: float32(d.cfg.Power), Claims: d.claimed(), Storeless: d.storeless.Load()}
 	if d.rides() {
 		l := d.loadFrame(d.load(now))
 		l.Next = view.Far * view.Period
@@ -112,10 +112,6 @@
 	return b
 }
 
-func (d *Node) bareBeat(now time.Time) *frame.Beat {
-	return &frame.Beat{At: now, Leaving: d.leaving.Load(), Doubts: d.view.Doubts(now), Power: float32(d.cfg.Power), Claims: d.claimed(), Storeless: d.storeless.Load()}
-}
-
 // tick looks at deadlines.
 func (d *Node) tick() {
 	now := d.now()
--- a/internal/edge/serve/relay.go
+++ b/internal/edge/serve/relay.go
@@ -136,7 +136,7 @@
 		case u.Err != nil: // the neighbours keep what they know
 		case u.Value.Cordon != "":
 			m.Cordons = append(m.Cordons, u.Value.Cordon)
-		default:
+		case u.Value.Plan != nil:
 			m.All = append(m.All, *u.Value.Plan)
 		}
 	}
