A job under which endpoints were lost is never called failed

Cause: an owner can't tell a crash by the task from an endpoint that goes down by itself, and two such losses were answered as failed. Change: with the second loss the job is answered as unknown; it is still started no more.

--- a/internal/task/owner/crash.go
+++ b/internal/task/owner/crash.go
@@ -11,7 +11,8 @@
 
 const (
 	// mostDeaths is how many endpoints may be lost under a task until it is given up. One says
-	// little: up to three tasks share an endpoint, and endpoints die by themselves.
+	// little: up to three tasks share an endpoint, and endpoints die by themselves. The users allow
+	// two more: another guilty job about hides one, and the caller may send the job again.
 	mostDeaths = 2
 	// cohortFor is the time within which endpoints that are lost together are noticed: the last
 	// lease of each ends up to a second after the first's.
@@ -29,9 +30,12 @@
 //
 // What goes wrong without it: a task that crashes whatever starts it takes one endpoint after the
 // other, each with the tasks beside it, until its caller gives up. One notices endpoints that are
-// lost one at a time, and one job at all of them. Such a task is given up when two were lost under
-// it. Endpoints of a rack that loses power die together, and no job was on most of them: but for
-// the first nobody is suspected then.
+// lost one at a time, and one job at all of them. Such a task runs alone from then on, and is given up
+// when two were lost under it. Endpoints of a rack that loses power die together, and no job was on
+// most of them: but for the first nobody is suspected then.
+//
+// That a job has failed is never said for this: an owner sees that an endpoint is silent, not why. One
+// that is cut off, or goes down and up by itself, may be lost twice under a task that did nothing.
 func (b *Book) perished(now time.Time, over []lease.Finished) {
 	d := death{at: now}
 	for _, f := range over {
@@ -71,7 +75,7 @@
 	n := b.suspects[r.Name]
 	switch {
 	case n >= mostDeaths:
-		b.finish(now, e, job.Answer{Outcome: job.Failed, Reason: job.TaskFailed, Detail: r.Name + " was running when two endpoints were lost, and none beside them"})
+		b.finish(now, e, job.Answer{Outcome: e.outcome(), Reason: job.Silent, Detail: r.Name + " was running when two endpoints were lost"})
 	case n > 0:
 		st.waiting = slices.Insert(st.waiting, 0, r.Task.Index)
 	default:
