Tests that show two known failures: an owner 20 and 40 times slower, a domain lost among many

Symptom: of 220 jobs in two seconds up to 33 fail while an owner's link carries 20 or 40 times less; after the loss of one of four domains among 96 VMs 26 of 4,579 jobs fail from 4 to 12 s on.

--- a/internal/tool/grid/narrow_test.go
+++ b/internal/tool/grid/narrow_test.go
@@ -1,6 +1,7 @@
 package grid
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -69,3 +70,22 @@
 	}
 	is.True(g.Counts(every, hit+2*time.Second, hit+8*time.Second).Share() >= 0.95)
 }
+
+// What happens: one owner's link carries 20 or 40 times less from one moment on; callers of that VM
+// and jobs on its endpoints fail for as long as that lasts. Cause: not known yet.
+func TestOwnerThatTurnsFarSlowerIsRelieved(t *testing.T) {
+	for _, times := range []int{20, 40} {
+		t.Run(fmt.Sprint(times), func(t *testing.T) {
+			is := is.New(t)
+			set := Users(110)
+			set.Link = 1_000_000
+			set.Faults = []Fault{{At: hit, Do: func(g *Grid) { g.Owner("fd-a").up.narrow(times) }}}
+			g := play(t, set)
+			for s := range 5 {
+				at := hit + time.Duration(2*s)*time.Second
+				t.Logf("%s after: %+v", at-hit, g.Counts(every, at, at+2*time.Second))
+			}
+			is.True(g.Counts(every, hit+2*time.Second, hit+8*time.Second).Share() >= 0.95)
+		})
+	}
+}
--- a/internal/tool/grid/scale_test.go
+++ b/internal/tool/grid/scale_test.go
@@ -96,13 +96,7 @@
 	var early, late int64
 	served := false
 	set.Faults = []Fault{
-		{At: lost, Do: func(g *Grid) {
-			for n := range set.VMs {
-				if v := g.VM(n); v.Domain == "fd-a" {
-					g.Kill(v)
-				}
-			}
-		}},
+		{At: lost, Do: func(g *Grid) { g.KillDomain("fd-a") }},
 		{At: lost + 8*time.Second, Do: func(*Grid) { early = dropped.n.Load() }},
 		{At: lost + 13*time.Second, Do: func(g *Grid) { late, served = dropped.n.Load(), g.Owner("fd-a") != nil }},
 	}
@@ -119,6 +113,28 @@
 	is.True(late-early <= 20) // a unit of five groups changes hands once or twice
 }
 
+// What happens: all VMs of one of four domains die for good among 96. From 4 to 12 s after it, when
+// each endpoint has a new owner and all leases of the old ones have ended, jobs still fail, and
+// groups change hands. Cause: not known yet.
+func TestJobsAfterALostDomainAmongMany(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	set := grown(96)
+	set.Span = 14 * time.Second
+	lost := set.Warm + time.Second
+	var dropped lines
+	dropped.word = `msg="group dropped"`
+	set.Log = &dropped
+	set.Faults = []Fault{{At: lost, Do: func(g *Grid) { g.KillDomain("fd-a") }}}
+	g := play(t, set)
+	for s := range 6 {
+		at := lost + time.Duration(2*s)*time.Second
+		t.Logf("%s after the loss: %+v", at-lost, g.Counts(every, at, at+2*time.Second))
+	}
+	t.Logf("groups dropped: %d", dropped.n.Load())
+	is.Equal(g.Counts(every, lost+4*time.Second, lost+12*time.Second).Failed, 0)
+}
+
 // lines counts the lines of a log that have a word.
 type lines struct {
 	word string
--- a/internal/tool/grid/steps.go
+++ b/internal/tool/grid/steps.go
@@ -70,6 +70,15 @@
 	v.Node.Close()
 }
 
+// KillDomain ends all VMs of a failure domain without a word.
+func (g *Grid) KillDomain(domain string) {
+	for n := range g.VMs {
+		if v := g.VM(n); v.Domain == domain {
+			g.Kill(v)
+		}
+	}
+}
+
 // Restart kills a VM and starts it again after a while.
 func (g *Grid) Restart(v *VM, after time.Duration) {
 	g.Kill(v)
