A VM whose messages come late hands its endpoints over and takes no callers

Callers saw: one VM's link carries 20 or 40 times less, and an eighth of all jobs fails for as long as that lasts, by their deadline. Change: heartbeats tell whose heartbeats come late; a VM that half of all and half of its neighbours find late hands its units to neighbours that aren't, is not ready, and refuses at once what would reach its owner too late. The grid's balancer looks at readiness as the platform's does. Holds since it rests on what others measure, goes on being measured without load, and lasts longer each time. Open and listed: both VMs of a domain slow at once.

--- a/internal/edge/serve/beat.go
+++ b/internal/edge/serve/beat.go
@@ -26,6 +26,7 @@
 		d.changed(now, c)
 	}
 	d.mu.Lock()
+	d.lookLate(now)
 	d.decide(now)
 	b := d.pulse(now)
 	d.perform()
@@ -40,6 +41,18 @@
 	d.parts.Mesh.Spread(to, b)
 }
 
+// lookLate takes in how late this VM's messages reach the others; the caller holds the lock.
+func (d *Node) lookLate(now time.Time) {
+	d.delay = d.view.Delay()
+	on := d.strain.Look(now, d.delay)
+	if on == d.strained {
+		return
+	}
+	d.strained = on
+	d.claims.Strain(on)
+	d.log.Info("vm strained", "on", on, "delay", d.delay)
+}
+
 // hail sends a heartbeat to the VMs that this one was just told of and has not heard: after a
 // loss of all VMs each waits with its claims until its neighbours are heard, and the next
 // heartbeat would be up to 0.1 s later. Without it played days that end with such a loss are
@@ -103,7 +116,7 @@
 
 // pulse is this VM's heartbeat; the caller holds the lock.
 func (d *Node) pulse(now time.Time) *frame.Beat {
-	b := &frame.Beat{At: now, Leaving: d.leaving.Load(), Doubts: d.view.Doubts(now), Power: float32(d.cfg.Power), Claims: d.claimed(), Storeless: d.storeless.Load()}
+	b := &frame.Beat{At: now, Leaving: d.leaving.Load(), Doubts: d.view.Doubts(now), Power: float32(d.cfg.Power), Claims: d.claimed(), Storeless: d.storeless.Load(), Late: d.view.Lates(now), Strained: d.strained}
 	if d.rides() {
 		l := d.loadFrame(d.load(now))
 		l.Next = view.Far * view.Period
--- a/internal/edge/serve/node.go
+++ b/internal/edge/serve/node.go
@@ -120,7 +120,10 @@
 	probing   map[claim.Group]bool
 	heard     []claim.Peer              // filled anew for each round of claims
 	blind     map[claim.Group]time.Time // when an owned group was last seen to answer
-	lossy     time.Time                 // until then orders are thought to get lost
+	strain    view.Strain
+	strained  bool          // this VM's messages reach the others late
+	delay     time.Duration // by so much
+	lossy     time.Time     // until then orders are thought to get lost
 }
 
 // reached tells since when, and when last, an endpoint of a group was reached.
@@ -175,6 +178,9 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if d.strained && d.relieved() {
+		return false
+	}
 	now := d.now()
 	// After a loss of all VMs nobody owns endpoints for some tenths of a second. Callers are
 	// better off here, where their jobs wait for owners, than at a machine without power, to
--- a/internal/edge/serve/own.go
+++ b/internal/edge/serve/own.go
@@ -140,13 +140,20 @@
 		ps = append(ps, claim.Peer{
 			VM: m.VM, Domain: m.Domain, Leaving: m.State == view.Left || m.Beat.Leaving, Since: d.since[m.VM],
 			Live:   (m.State == view.Alive || m.State == view.Suspect) || (m.State == view.Left && now.Sub(m.Heard) < lostAfter),
-			Claims: m.Beat.Claims, Listed: m.State == view.Listed, Absent: m.State == view.Listed && d.parts.Mesh.Absent(m.VM), Silent: m.State == view.Suspect, Power: float64(m.Beat.Power),
+			Claims: m.Beat.Claims, Strained: m.Beat.Strained, Listed: m.State == view.Listed, Absent: m.State == view.Listed && d.parts.Mesh.Absent(m.VM), Silent: m.State == view.Suspect, Power: float64(m.Beat.Power),
 		})
 	}
 	d.heard = ps
 	return ps
 }
 
+// relieved reports whether another VM can take this one's callers.
+func (d *Node) relieved() bool {
+	return slices.ContainsFunc(d.view.Members(), func(m *view.Member) bool {
+		return m.State == view.Alive && !m.Beat.Strained && !m.Beat.Leaving
+	})
+}
+
 // held are the endpoints that their former owners still use.
 func held(peers []claim.Peer) map[string]bool {
 	ids := map[string]bool{}
--- a/internal/edge/serve/submit.go
+++ b/internal/edge/serve/submit.go
@@ -139,6 +139,10 @@
 		if !vm.IsValid() {
 			break
 		}
+		if vm != d.cfg.VM && d.delay >= handFor {
+			d.end(c, job.Answer{Outcome: job.Refused, Reason: job.Silent, Retry: spread(leastRetry), Detail: fmt.Sprintf("this VM's messages come %s late", d.delay)})
+			return
+		}
 		c.tried = append(c.tried, vm)
 		c.to = vm
 		j := *c.job // the call's own stays as it came
--- a/internal/mesh/claim/claim.go
+++ b/internal/mesh/claim/claim.go
@@ -55,9 +55,11 @@
 	Absent  bool // listed, and its machine does not answer or runs no process
 	Silent  bool // not heard for a while, but not given up
 	Leaving bool
-	Since   time.Time // since when it is there
-	Power   float64   // cores that it may use; 0 counts as 1
-	Claims  []frame.Claim
+	// Strained says that its messages reach the others late.
+	Strained bool
+	Since    time.Time // since when it is there
+	Power    float64   // cores that it may use; 0 counts as 1
+	Claims   []frame.Claim
 }
 
 // Own is a group that this VM owns.
@@ -77,6 +79,8 @@
 	own    map[Group]*Own
 	shun   map[Group]*rest
 	listed bool // the store's list of VMs was read
+	// strained says that this VM's messages reach the others late.
+	strained bool
 	// claims is filled anew by each round; a map for each would be a fifth of all that a VM
 	// among 97 allocates.
 	claims map[Group]claimant
@@ -192,6 +196,7 @@
 	fence := uint64(0) // one for all groups of a round, so that a heartbeat names it once
 	b.count(seats, peers)
 	spare := b.spare(now, seats, peers)
+	relieved := b.relieved(peers)
 	for _, g := range seats {
 		on := b.claims[g.Group]
 		if mine := b.own[g.Group]; mine != nil {
@@ -200,7 +205,7 @@
 				changes = append(changes, Change{Group: g.Group, Fence: mine.Fence, Giving: true, Why: "a neighbour has less to carry"})
 				continue
 			}
-			if c, ok := b.keep(now, g, mine, on, leaving, peers); ok {
+			if c, ok := b.keep(now, g, mine, on, leaving, relieved, peers); ok {
 				changes = append(changes, c)
 			}
 			continue
@@ -236,11 +241,23 @@
 	}
 }
 
+// Strain tells the book whether this VM's messages reach the others late. Its groups go to
+// neighbours then whose don't, and it takes none over while there are such.
+func (b *Book) Strain(on bool) { b.strained = on }
+
+// relieved reports whether a neighbour can take over what this VM owns.
+func (b *Book) relieved(peers []Peer) bool {
+	return b.strained && slices.ContainsFunc(peers, func(p Peer) bool { return p.Domain == b.domain && p.fit() })
+}
+
+// fit reports whether a VM is there to stay and can be relied on.
+func (p Peer) fit() bool { return p.Live && !p.Silent && !p.Leaving && !p.Strained }
+
 // Listed tells the book that the store's list of VMs was read: all neighbours are known.
 func (b *Book) Listed() { b.listed = true }
 
 // keep looks at a group that this VM owns.
-func (b *Book) keep(now time.Time, g Seat, mine *Own, on claimant, leaving bool, peers []Peer) (Change, bool) {
+func (b *Book) keep(now time.Time, g Seat, mine *Own, on claimant, leaving, relieved bool, peers []Peer) (Change, bool) {
 	switch {
 	case on.kept && on.above(mine.Fence, b.self) && !mine.Giving:
 		delete(b.own, g.Group)
@@ -250,6 +267,9 @@
 	case leaving:
 		mine.Giving = true
 		return Change{Group: g.Group, Fence: mine.Fence, Giving: true, Why: "this VM leaves"}, true
+	case relieved:
+		mine.Giving = true
+		return Change{Group: g.Group, Fence: mine.Fence, Giving: true, Why: "this VM's messages come late"}, true
 	case g.Domain != b.domain && home(now, g, peers):
 		mine.Giving = true
 		return Change{Group: g.Group, Fence: mine.Fence, Giving: true, Why: "its own domain has a VM again"}, true
@@ -333,20 +353,26 @@
 	if vm := b.relief(now, g, peers, giving); vm.IsValid() {
 		return vm
 	}
-	top, near, key := 0.0, false, g.key()
-	look := func(vm netip.AddrPort, domain string, power float64) {
+	top, class, key := 0.0, 0, g.key()
+	look := func(vm netip.AddrPort, domain string, power float64, strained bool) {
+		c := 0 // its own domain first, and in each those that aren't strained
+		if domain == g.Domain {
+			c = 2
+		}
+		if !strained {
+			c++
+		}
 		w := weight(key, vm, power)
-		n := domain == g.Domain
-		if !best.IsValid() || (n && !near) || (n == near && w > top) {
-			best, top, near = vm, w, n
+		if !best.IsValid() || c > class || (c == class && w > top) {
+			best, top, class = vm, w, c
 		}
 	}
 	if b.self != giving {
-		look(b.self, b.domain, b.power)
+		look(b.self, b.domain, b.power, b.strained)
 	}
 	for _, p := range peers {
 		if p.Live && !p.Leaving && p.VM != giving {
-			look(p.VM, p.Domain, p.Power)
+			look(p.VM, p.Domain, p.Power, p.Strained)
 		}
 	}
 	return best
--- a/internal/mesh/claim/claim_test.go
+++ b/internal/mesh/claim/claim_test.go
@@ -218,3 +218,23 @@
 	busy := []Peer{{VM: b, Domain: "x", Live: true, Since: came, Claims: []frame.Claim{{Domain: "x", Shards: 1 << cs[0].Group.Shard, Fence: 9e18}}}}
 	is.Equal(len(k.Decide(came.Add(calm), false, many[:cs[0].Group.Shard], busy)), 0)
 }
+
+// Guards against an owner that keeps its endpoints, or takes others over, while its messages come late.
+func TestStrainedVMsHandOver(t *testing.T) {
+	is := is.New(t)
+	k := New(a, "x", 1, t0)
+	k.Decide(t0.Add(settle), false, gs[:1], nil)
+	is.True(k.Owns(x) != nil)
+	k.Strain(true)
+	now := t0.Add(time.Minute)
+	is.Equal(len(k.Decide(now, false, gs[:1], nil)), 0) // nobody else would have them
+	is.Equal(len(k.Decide(now, false, gs[:1], []Peer{{VM: b, Domain: "x", Live: true, Since: t0, Strained: true}})), 0)
+	neighbour := []Peer{{VM: b, Domain: "x", Live: true, Since: t0}}
+	cs := k.Decide(now, false, gs[:1], neighbour)
+	is.Equal(len(cs), 1)
+	is.True(cs[0].Giving)
+	k.Drop(x)
+	for unit := range 100 {
+		is.Equal(k.best(now, Seat{Group: x, Unit: unit}, neighbour, netip.AddrPort{}), b)
+	}
+}
--- a/internal/mesh/claim/share.go
+++ b/internal/mesh/claim/share.go
@@ -62,11 +62,11 @@
 			best, least, top = vm, c, w
 		}
 	}
-	if b.self != but && now.Sub(b.began) >= calm {
+	if b.self != but && !b.strained && now.Sub(b.began) >= calm {
 		look(b.self, b.power)
 	}
 	for _, p := range peers {
-		if p.Domain == b.domain && p.VM != but && p.Live && !p.Silent && !p.Leaving && now.Sub(p.Since) >= calm {
+		if p.Domain == b.domain && p.VM != but && p.fit() && now.Sub(p.Since) >= calm {
 			look(p.VM, p.Power)
 		}
 	}
--- a/internal/mesh/frame/msg.go
+++ b/internal/mesh/frame/msg.go
@@ -74,10 +74,20 @@
 	Power   float32          `msgpack:"p,omitempty"` // cores that the sender may use
 	// Storeless says that the platform's store does not answer the sender.
 	Storeless bool `msgpack:"n,omitempty"`
+	// Late are the peers whose heartbeats reach the sender late.
+	Late []Late `msgpack:"z,omitempty"`
+	// Strained says that the sender's messages reach most others late.
+	Strained bool `msgpack:"x,omitempty"`
 	// Load is the sender's load, if it is told with heartbeats alone.
 	Load *Load `msgpack:"y,omitempty"`
 }
 
+// Late says how much later than usual a peer's last heartbeat came.
+type Late struct {
+	VM netip.AddrPort `msgpack:"v"`
+	By time.Duration  `msgpack:"b"`
+}
+
 // Claim says that a VM owns groups of a failure domain's leased endpoints.
 type Claim struct {
 	Domain string   `msgpack:"d"`
--- a/internal/mesh/view/member.go
+++ b/internal/mesh/view/member.go
@@ -34,6 +34,7 @@
 	Picked bool // this VM keeps a link to it even before it speaks
 	Heard  time.Time
 	Beat   frame.Beat
+	Late   time.Duration // how much later than the fastest the last heartbeat came
 	Skew   time.Duration // least seen difference of this clock minus the member's
 }
 
--- /dev/null
+++ b/internal/mesh/view/strain_test.go
@@ -0,0 +1,108 @@
+package view
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"dahliawinch/internal/mesh/frame"
+)
+
+// speak lets a member say how late this VM's messages come.
+func speak(v *View, n int, domain string, by time.Duration) {
+	b := frame.Beat{At: began}
+	if by > 0 {
+		b.Late = []frame.Late{{VM: vm(0), By: by}}
+	}
+	v.Hear(began, frame.Hello{VM: vm(n), Inc: 1, Domain: domain}, &b)
+}
+
+// Guards against a VM that is slow and takes itself for healthy.
+func TestDelayIsWhatHalfOfTheOthersSay(t *testing.T) {
+	is := is.New(t)
+	v := New(vm(0), "a", began)
+	speak(v, 1, "a", time.Second)
+	is.Equal(v.Delay(), time.Duration(0)) // of two VMs either may be the slow one
+	speak(v, 2, "b", 300*time.Millisecond)
+	is.Equal(v.Delay(), time.Second)
+	speak(v, 3, "b", 0)
+	speak(v, 4, "c", 0)
+	is.Equal(v.Delay(), 300*time.Millisecond)
+	speak(v, 5, "c", 0)
+	is.Equal(v.Delay(), time.Duration(0))
+}
+
+// Guards against a failure domain behind a one-way cut whose VMs all take themselves for slow.
+func TestNeighboursMustFindTheDelayToo(t *testing.T) {
+	is := is.New(t)
+	v := New(vm(0), "a", began)
+	speak(v, 1, "a", 0)
+	for n := range 4 {
+		speak(v, 2+n, "b", time.Second)
+	}
+	is.Equal(v.Delay(), time.Duration(0))
+	speak(v, 1, "a", 200*time.Millisecond)
+	is.Equal(v.Delay(), 200*time.Millisecond)
+}
+
+func TestLateHeartbeatsAreTold(t *testing.T) {
+	is := is.New(t)
+	v := New(vm(0), "a", began)
+	for k, late := range []time.Duration{0, lateLeast / 2, time.Second} {
+		sent := began.Add(time.Duration(k) * Period)
+		hear(v, sent.Add(late), 1, 1, frame.Beat{At: sent})
+	}
+	now := began.Add(2*Period + time.Second)
+	is.Equal(len(v.Lates(now)), 1)
+	is.True(v.Lates(now)[0].By >= time.Second-2*skewDrift)
+	hear(v, now, 1, 1, frame.Beat{At: now})
+	is.Equal(len(v.Lates(now)), 0)
+	is.Equal(len(v.Lates(now.Add(Period+lateLeast))), 1) // the next one is overdue
+	is.Equal(saysOf(&frame.Beat{Doubts: []netip.AddrPort{vm(0)}}, vm(0)), suspectAfter)
+}
+
+// Guards against units that go to and fro while a VM is slow only under load.
+func TestStrainLastsLongerEachTime(t *testing.T) {
+	is := is.New(t)
+	var s Strain
+	now, spells := began, []time.Duration{}
+	for range 4 {
+		for !s.Look(now, time.Second) {
+			now = now.Add(Period)
+		}
+		from := now
+		for s.Look(now, 0) {
+			now = now.Add(Period)
+		}
+		spells = append(spells, now.Sub(from))
+	}
+	is.Equal(spells, []time.Duration{strainFor, 2 * strainFor, 4 * strainFor, strainMost})
+}
+
+// Guards against a VM that counts as strained for a single late heartbeat, or for good.
+func TestStrainFollowsTheDelay(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var s Strain
+		now, late, quiet := began, time.Duration(0), time.Duration(0)
+		for range rapid.IntRange(1, 200).Draw(t, "looks") {
+			delay := time.Duration(rapid.IntRange(0, 300).Draw(t, "delay")) * time.Millisecond
+			if delay >= lateLeast {
+				late, quiet = late+Period, 0
+			} else {
+				late, quiet = 0, quiet+Period
+			}
+			was := s.on
+			on := s.Look(now, delay)
+			if on && !was && late < strainAfter {
+				t.Fatalf("strained after %s", late)
+			}
+			if on && quiet > strainMost {
+				t.Fatalf("strained though in time for %s", quiet)
+			}
+			now = now.Add(Period)
+		}
+	})
+}
--- a/internal/mesh/view/view.go
+++ b/internal/mesh/view/view.go
@@ -184,6 +184,7 @@
 	if was.Inc == m.Inc {
 		m.Skew = min(m.Skew, was.Skew+skewDrift)
 	}
+	m.Late = m.Age(now, b.At)
 	if b.Leaving {
 		m.State = Left
 	}
--- a/internal/tool/grid/grid.go
+++ b/internal/tool/grid/grid.go
@@ -180,9 +180,34 @@
 	}()
 	v.ready.Store(true)
 	v.Node.Start()
+	g.wg.Add(1)
+	go func() {
+		defer g.wg.Done()
+		g.balance(ctx, v)
+	}()
 	return v
 }
 
+// The balancer looks at a VM each balanceEvery and goes by two looks.
+const balanceEvery = time.Second
+
+// balance sends no callers to a VM that was ready and is not any more.
+func (g *Grid) balance(ctx context.Context, v *VM) {
+	t := time.NewTicker(balanceEvery)
+	defer t.Stop()
+	for was, known := true, false; ; {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		is := v.Node.Ready()
+		known = known || is
+		v.shunned.Store(known && !is && !was)
+		was = is
+	}
+}
+
 // VM returns the newest incarnation of the n-th VM.
 func (g *Grid) VM(n int) *VM { return g.at(fakes.Addrs(20, g.VMs)[n]) }
 
--- a/internal/tool/grid/load.go
+++ b/internal/tool/grid/load.go
@@ -249,7 +249,7 @@
 	g.mu.Lock()
 	var near, all []*VM
 	for _, v := range g.vms {
-		if v.dead.Load() || !v.ready.Load() {
+		if v.dead.Load() || !v.ready.Load() || v.shunned.Load() {
 			continue
 		}
 		all = append(all, v)
--- a/internal/tool/grid/narrow_test.go
+++ b/internal/tool/grid/narrow_test.go
@@ -71,8 +71,13 @@
 	is.True(g.Counts(every, hit+2*time.Second, hit+8*time.Second).Share() >= 0.95)
 }
 
-// What happens: one owner's link carries 20 or 40 times less from one moment on; callers of that VM
-// and jobs on its endpoints fail for as long as that lasts. Cause: not known yet.
+// What happens: one owner's link carries 20 or 40 times less from one moment on; an eighth of all
+// jobs fails for as long as that lasts. Why: they are the jobs of callers that the balancer sends to
+// that VM. It hands them to other owners over a link in which they wait behind its own orders and looks
+// at endpoints, and takes itself for healthy, since it hears everybody in time. What showed it: of
+// 145 "answer" lines that weren't "done" 137 were that VM's, 130 of them with another VM as owner,
+// "its time ran out" or "it came 2.0545s after it was sent"; bytes by kind of message on its link and
+// the length of the link's queue, 2.2 s all the time.
 func TestOwnerThatTurnsFarSlowerIsRelieved(t *testing.T) {
 	for _, times := range []int{20, 40} {
 		t.Run(fmt.Sprint(times), func(t *testing.T) {
@@ -89,3 +94,48 @@
 		})
 	}
 }
+
+// A VM that owns nothing turns slow: its callers must go elsewhere too.
+func TestCallersOfASlowVMGoElsewhere(t *testing.T) {
+	is := is.New(t)
+	set := Users(110)
+	set.Link = 1_000_000
+	set.Faults = []Fault{{At: hit, Do: func(g *Grid) {
+		for n := range set.VMs {
+			if v := g.VM(n); !v.Node.Owns(v.Domain) {
+				v.up.narrow(200)
+				return
+			}
+		}
+		t.Error("every VM owns endpoints")
+	}}}
+	g := play(t, set)
+	for s := range 5 {
+		at := hit + time.Duration(2*s)*time.Second
+		t.Logf("%s after: %+v", at-hit, g.Counts(every, at, at+2*time.Second))
+	}
+	is.True(g.Counts(every, hit+2*time.Second, hit+8*time.Second).Share() >= 0.95)
+}
+
+// What happens: both VMs of a failure domain turn 20 times slower. Each is strained by turns and hands
+// its endpoints to the other, which is not until it has them. Cause: strain is known under load only,
+// and another domain's VMs never take over while a VM of the own domain lives.
+func TestDomainOfSlowVMsIsServed(t *testing.T) {
+	is := is.New(t)
+	set := Users(110)
+	set.Seed = 3
+	set.Link = 1_000_000
+	set.Faults = []Fault{{At: hit, Do: func(g *Grid) {
+		for n := range set.VMs {
+			if v := g.VM(n); v.Domain == "fd-a" {
+				v.up.narrow(20)
+			}
+		}
+	}}}
+	g := play(t, set)
+	for s := range 5 {
+		at := hit + time.Duration(2*s)*time.Second
+		t.Logf("%s after: %+v", at-hit, g.Counts(every, at, at+2*time.Second))
+	}
+	is.True(g.Counts(every, hit+2*time.Second, hit+8*time.Second).Share() >= 0.95)
+}
--- a/internal/tool/grid/net.go
+++ b/internal/tool/grid/net.go
@@ -82,6 +82,8 @@
 	dead   atomic.Bool
 	ready  atomic.Bool // the balancer sends callers
 	orders atomic.Int64
+	// shunned is set while the balancer finds the VM not ready.
+	shunned atomic.Bool
 }
 
 var (
