Endpoints of a lost domain go to one other domain, whose VMs know each other

Callers saw: after the loss of one of four failure domains among 96 VMs 26 of 4,579 jobs fail from 4 to 12 s on. Cause, from 45 'group dropped' lines of VMs of three domains for one unit: the owner was the best of all VMs that each knows, and each knows 32 of 72 others; several claim, and take the group from each other. Change: first a domain by hashing, then a VM in it. Holds since every VM knows some of each domain and all of its own.

--- a/internal/mesh/claim/claim.go
+++ b/internal/mesh/claim/claim.go
@@ -354,9 +354,13 @@
 		return vm
 	}
 	top, class, key := 0.0, 0, g.key()
+	deputy := b.deputy(key, peers)
 	look := func(vm netip.AddrPort, domain string, power float64, strained bool) {
-		c := 0 // its own domain first, and in each those that aren't strained
-		if domain == g.Domain {
+		c := 0 // its own domain first, then its deputy, and in each those that aren't strained
+		switch domain {
+		case g.Domain:
+			c = 4
+		case deputy:
 			c = 2
 		}
 		if !strained {
@@ -378,6 +382,29 @@
 	return best
 }
 
+// deputy is the failure domain whose VMs own a unit of a domain that has none left.
+//
+// What goes wrong if it is the best of all VMs that this one knows: in a large deployment each keeps
+// links to a part of the other domains' VMs. Those that don't know each other claim the same groups,
+// take them from each other, and jobs on them fail. One notices groups that are dropped for a higher
+// fence. Every VM knows some VMs of each domain, and all of its own: so they agree on the deputy, and
+// its VMs agree on the owner.
+func (b *Book) deputy(key string, peers []Peer) (best string) {
+	top := uint64(0)
+	look := func(domain string) {
+		if w := xxhash.Sum64String(key + "|" + domain); best == "" || w > top {
+			best, top = domain, w
+		}
+	}
+	look(b.domain)
+	for _, p := range peers {
+		if p.Domain != b.domain && p.Live && !p.Leaving {
+			look(p.Domain)
+		}
+	}
+	return best
+}
+
 // weight is a VM's score for a key: the highest of all is drawn with a chance that grows
 // with the square of its power, since a weak owner holds up all jobs of its pool.
 func weight(key string, vm netip.AddrPort, power float64) float64 {
--- a/internal/mesh/claim/claim_test.go
+++ b/internal/mesh/claim/claim_test.go
@@ -1,6 +1,7 @@
 package claim
 
 import (
+	"math/rand/v2"
 	"net/netip"
 	"testing"
 	"time"
@@ -238,3 +239,34 @@
 		is.Equal(k.best(now, Seat{Group: x, Unit: unit}, neighbour, netip.AddrPort{}), b)
 	}
 }
+
+// Guards against VMs that keep no link to each other and claim the same group of a lost domain.
+func TestVMsOfOneDomainOwnALostUnit(t *testing.T) {
+	is := is.New(t)
+	const domains, each = 4, 24
+	at := func(d, n int) netip.AddrPort {
+		return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(d), byte(n)}), 1)
+	}
+	name := func(d int) string { return string(rune('a' + d)) }
+	r := rand.New(rand.NewPCG(1, 1))
+	for unit := range 20 {
+		g, owners := Seat{Group: Group{Domain: "lost"}, Unit: unit}, map[netip.AddrPort]bool{}
+		for d := range domains {
+			for n := range each {
+				k := New(at(d, n), name(d), 1, t0)
+				var peers []Peer // its neighbours and a third of the others
+				for e := range domains {
+					for m := range each {
+						if (e == d && m != n) || (e != d && (m == 0 || r.IntN(3) == 0)) {
+							peers = append(peers, Peer{VM: at(e, m), Domain: name(e), Live: true})
+						}
+					}
+				}
+				if k.best(t0, g, peers, netip.AddrPort{}) == k.self {
+					owners[k.self] = true
+				}
+			}
+		}
+		is.Equal(len(owners), 1)
+	}
+}
--- a/internal/tool/grid/scale_test.go
+++ b/internal/tool/grid/scale_test.go
@@ -115,7 +115,10 @@
 
 // What happens: all VMs of one of four domains die for good among 96. From 4 to 12 s after it, when
 // each endpoint has a new owner and all leases of the old ones have ended, jobs still fail, and
-// groups change hands. Cause: not known yet.
+// groups change hands. Why: each VM claims what it is the best owner of among those that it knows,
+// and knows 32 of the 72 in other domains; several are the best by their own views, claim the same
+// group, and take it from each other. What showed it: 45 "group dropped" lines, "another VM has a higher
+// fence", from VMs of three domains for the groups of one unit.
 func TestJobsAfterALostDomainAmongMany(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
