A VM that has not read the platform's list hands submissions over

Callers saw: a restarted VM refuses all jobs, 'no endpoint is known', until a slow list has answered, beside a neighbour that knows all endpoints. Cause: it judges a submission by itself (evidence: the new test, with a list that takes 5 s; before the change 1 of 1 refused, after it done). Change: it hands over as a VM that leaves does, and opens the link first if it is not up yet (seen: the cast failed in the first 100 ms). Alone it refuses at once with a time to return; a test guards that, as it was.

--- a/internal/task/flow/handoff.go
+++ b/internal/task/flow/handoff.go
@@ -188,7 +188,7 @@
 }
 
 // handOver hands a submission without a ticket to any usable peer, because this
-// VM is leaving; nil if no peer could take it.
+// VM can't run it; nil if no peer could take it.
 func (n *Node) handOver(ctx context.Context, req *job.Request) *job.Answer {
 	for _, m := range n.view.Members() {
 		if !m.Usable() || m.Domain != n.cfg.Domain && n.sameDomain() {
@@ -229,7 +229,7 @@
 		delete(n.calls, s.Call)
 		n.callMu.Unlock()
 	}()
-	if err := n.parts.Mesh.Cast(vm, s); err != nil {
+	if err := n.parts.Mesh.Cast(vm, s); err != nil && !n.castAgain(ctx, vm, inc, s) {
 		return gone
 	}
 	n.parts.Meter.Waste(meterForward, 1)
@@ -243,6 +243,15 @@
 	}
 }
 
+// castAgain sends a submission once a link is open: a VM that has just started hears others before
+// its own links are up.
+func (n *Node) castAgain(ctx context.Context, vm netip.AddrPort, inc uint64, s *frame.Submit) bool {
+	ctx, cancel := context.WithTimeout(ctx, reachWait)
+	defer cancel()
+	there, err := n.parts.Mesh.Reach(ctx, vm)
+	return err == nil && there == inc && n.parts.Mesh.Cast(vm, s) == nil
+}
+
 // patience is how long the answer to a submission is awaited: its own time, or its
 // class's, or a while if neither is known here.
 func (n *Node) patience(req *job.Request) time.Duration {
--- a/internal/task/flow/submit.go
+++ b/internal/task/flow/submit.go
@@ -67,9 +67,10 @@
 	return n.granted(req, n.plain(ctx, req))
 }
 
-// plain runs a submission without a ticket, here or, when this VM leaves, on a peer.
+// plain runs a submission without a ticket, here or on a peer: when this VM leaves, or has not read
+// the platform's list, which its neighbours have.
 func (n *Node) plain(ctx context.Context, req *job.Request) *job.Answer {
-	if n.draining.Load() {
+	if n.draining.Load() || n.table.Known() == 0 {
 		if a := n.handOver(ctx, req); a != nil {
 			return a
 		}
--- a/internal/tool/local/local_test.go
+++ b/internal/tool/local/local_test.go
@@ -65,6 +65,59 @@
 	is.Equal(a.Outcome, winch.Done)
 }
 
+// What happens: a VM is restarted while the platform's list answers slowly; its neighbour knows all
+// endpoints, and callers are refused with "no endpoint is known" until the list has come. Why: a VM
+// without endpoints judges a submission by itself, though it hears VMs that could run it. What showed
+// it: the same answer that ExampleClient_Submit got on a busy machine, from a VM with one neighbour.
+func TestVMWithoutTheListHandsOver(t *testing.T) {
+	is := is.New(t)
+	d := upWith(t, judge.New(), func(s *Shape) { s.Domains, s.VMs = 1, 2 })
+	old := d.VMs[1]
+	old.Kill()
+	<-old.Done()
+	d.List.Slow(5 * time.Second)
+	defer d.List.Slow(0)
+	v, err := d.Boot(old.Settings.Mesh, old.Settings.Domain)
+	is.NoErr(err)
+	for !hears(v, 1) || !inForce(v) {
+		time.Sleep(10 * time.Millisecond)
+	}
+	is.Equal(v.Daemon.Node().Stats().Known, 0)
+	c := winch.NewClient(v.Settings.Caller, "demo-crew")
+	a, err := c.Submit(t.Context(), winch.Job{Class: "render", Deadline: 3 * time.Second, Tasks: []winch.Task{{Body: map[string]any{"job": "page", "task": 0, "run": "5ms"}}}})
+	is.NoErr(err)
+	is.Equal(a.Detail, "")
+	is.Equal(a.Outcome, winch.Done)
+}
+
+// Guards against callers that are told nothing of when to return by a VM that knows no endpoint.
+func TestAloneWithoutTheListAVMSaysWhenToReturn(t *testing.T) {
+	is := is.New(t)
+	d := upWith(t, judge.New(), func(s *Shape) { s.Domains, s.VMs = 1, 1 })
+	old := d.VMs[0]
+	old.Kill()
+	<-old.Done()
+	d.List.Slow(2 * time.Second)
+	defer d.List.Slow(0)
+	v, err := d.Boot(old.Settings.Mesh, old.Settings.Domain)
+	is.NoErr(err)
+	for !inForce(v) {
+		time.Sleep(10 * time.Millisecond)
+	}
+	c := winch.NewClient(v.Settings.Caller, "demo-crew")
+	began := time.Now()
+	a, err := c.Submit(t.Context(), winch.Job{Class: "render", Deadline: 3 * time.Second, Tasks: []winch.Task{{Body: map[string]any{"job": "page", "task": 0, "run": "5ms"}}}})
+	is.NoErr(err)
+	is.Equal(a.Outcome, winch.Refused)
+	is.True(time.Since(began) < time.Second) // at once
+	is.True(a.Retry > 0)
+}
+
+func inForce(v *VM) bool {
+	_, _, ok := v.Daemon.Node().InForce()
+	return ok
+}
+
 func post(t *testing.T, d *Deployment, path, key string, body io.Reader) (int, map[string]any) {
 	t.Helper()
 	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+d.VMs[0].Settings.Caller.String()+path, body)
