Tasks that crash endpoints are known to all owners

Callers beside such a task lost jobs, and so did operators their endpoints: submitted up to four times one task crashed eight endpoints, 'task suspected ... lost=1' at one owner after the other. Cause: suspicion stayed with the owner that lost the endpoints. Change: heartbeats tell it; such a task is started once more, alone, for a caller that comes again, and after three losses the job is answered at once, as unknown.

--- a/internal/edge/serve/beat.go
+++ b/internal/edge/serve/beat.go
@@ -117,6 +117,9 @@
 // pulse is this VM's heartbeat; the caller holds the lock.
 func (d *Node) pulse(now time.Time) *frame.Beat {
 	b := &frame.Beat{At: now, Leaving: d.leaving.Load(), Doubts: d.view.Doubts(now), Power: float32(d.cfg.Power), Claims: d.claimed(), Storeless: d.storeless.Load(), Late: d.view.Lates(now), Strained: d.strained}
+	for _, s := range d.book.Suspects(now) {
+		b.Suspects = append(b.Suspects, frame.Suspect(s))
+	}
 	if d.rides() {
 		l := d.loadFrame(d.load(now))
 		l.Next = view.Far * view.Period
@@ -226,6 +229,15 @@
 	d.perform()
 }
 
+// heed takes in which tasks another owner suspects.
+func (d *Node) heed(now time.Time, all []frame.Suspect) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, s := range all {
+		d.book.Heed(now, owner.Suspect(s))
+	}
+}
+
 // Receive takes in a message of another VM.
 func (d *Node) Receive(from frame.Hello, m frame.Msg) {
 	now := d.now()
@@ -234,6 +246,9 @@
 		if c, ok := d.view.Hear(now, from, m); ok {
 			d.changed(now, c)
 		}
+		if len(m.Suspects) > 0 {
+			d.heed(now, m.Suspects)
+		}
 		if m.Load != nil {
 			d.mu.Lock()
 			d.hear(now, from.VM, loadOf(*m.Load), from.Domain == d.cfg.Domain, m.Load.Next)
--- a/internal/mesh/frame/msg.go
+++ b/internal/mesh/frame/msg.go
@@ -78,10 +78,18 @@
 	Late []Late `msgpack:"z,omitempty"`
 	// Strained says that the sender's messages reach most others late.
 	Strained bool `msgpack:"x,omitempty"`
+	// Suspects are tasks that the sender has come to suspect of crashing their endpoints.
+	Suspects []Suspect `msgpack:"k,omitempty"`
 	// Load is the sender's load, if it is told with heartbeats alone.
 	Load *Load `msgpack:"y,omitempty"`
 }
 
+// Suspect is a task under which endpoints were lost.
+type Suspect struct {
+	Task string `msgpack:"t"`
+	Lost int    `msgpack:"n"`
+}
+
 // Late says how much later than usual a peer's last heartbeat came.
 type Late struct {
 	VM netip.AddrPort `msgpack:"v"`
--- a/internal/task/owner/book.go
+++ b/internal/task/owner/book.go
@@ -91,8 +91,10 @@
 	acts   Acts
 	// suspects are the tasks under which endpoints were lost, how many; deaths the endpoints that
 	// were lost lately.
-	suspects map[string]int
-	deaths   []death
+	suspects  map[string]int
+	suspected map[string]time.Time // when, by task
+	news      []news               // of suspicions, for other owners
+	deaths    []death
 	// cordons are the failure domains whose endpoints get no new work, since when.
 	cordons map[string]time.Time
 }
@@ -101,7 +103,7 @@
 func New(cfg Config) *Book {
 	return &Book{
 		cfg: cfg, sites: map[string]*site{}, jobs: map[Key]*entry{}, names: map[string]*entry{},
-		health: health.New(health.Tame), nums: map[string]int{}, cordons: map[string]time.Time{}, suspects: map[string]int{},
+		health: health.New(health.Tame), nums: map[string]int{}, cordons: map[string]time.Time{}, suspects: map[string]int{}, suspected: map[string]time.Time{},
 	}
 }
 
@@ -179,7 +181,7 @@
 	if now.Sub(b.numsAt) > numsFor {
 		b.numsAt = now
 		clear(b.nums)
-		b.acquit()
+		b.acquit(now)
 	}
 	most := 0
 	for i := range e.steps {
--- a/internal/task/owner/crash.go
+++ b/internal/task/owner/crash.go
@@ -51,6 +51,8 @@
 	for _, f := range over {
 		if f.How == lease.Died && b.explains(f.Run.Task.Job) {
 			b.suspects[f.Run.Name]++
+			b.suspected[f.Run.Name] = now
+			b.news = append(b.news, news{now, Suspect{f.Run.Name, b.suspects[f.Run.Name]}})
 			b.cfg.Log.Info("task suspected", "job", f.Run.Task.Job, "task", f.Run.Name, "run", f.Run.Num, "lost", b.suspects[f.Run.Name], "beside", len(d.jobs)-1)
 		}
 	}
@@ -83,16 +85,73 @@
 	}
 }
 
-// acquit forgets suspicions of tasks that are not at hand any more.
-func (b *Book) acquit() {
-	for name := range b.suspects {
-		id, _, _ := strings.Cut(name, ".")
-		if b.names[id] == nil {
+// acquit forgets suspicions of tasks that are not at hand any more and were not suspected lately.
+func (b *Book) acquit(now time.Time) {
+	for name, at := range b.suspected {
+		if b.names[jobOf(name)] == nil && now.Sub(at) >= numsFor {
 			delete(b.suspects, name)
+			delete(b.suspected, name)
 		}
 	}
 }
 
+func jobOf(task string) string {
+	id, _, _ := strings.Cut(task, ".")
+	return id
+}
+
+// Suspect is a task under which endpoints were lost.
+type Suspect struct {
+	Task string
+	Lost int // endpoints
+}
+
+// news is a suspicion that other owners may not have heard of.
+type news struct {
+	at time.Time
+	Suspect
+}
+
+// tellFor is how long a suspicion is told: longer than it takes any VM to hear several heartbeats.
+const tellFor = 2 * time.Second
+
+// mostTold bounds the suspicions of a heartbeat: a rack that is lost makes many at once.
+const mostTold = 32
+
+// Suspects lists what this owner has come to suspect lately, for the others.
+//
+// What goes wrong without it: the caller of a job that has ended as unknown submits it again, another
+// owner takes it, and its task crashes two more endpoints there. One notices one task suspected at one
+// owner after the other.
+func (b *Book) Suspects(now time.Time) (all []Suspect) {
+	b.news = slices.DeleteFunc(b.news, func(n news) bool { return now.Sub(n.at) > tellFor })
+	for _, n := range b.news[max(0, len(b.news)-mostTold):] {
+		all = append(all, n.Suspect)
+	}
+	return all
+}
+
+// Heed takes in what another owner suspects.
+func (b *Book) Heed(now time.Time, s Suspect) {
+	if s.Lost <= b.suspects[s.Task] {
+		return
+	}
+	b.cfg.Log.Info("task suspected elsewhere", "task", s.Task, "lost", s.Lost)
+	b.suspects[s.Task], b.suspected[s.Task] = s.Lost, now
+}
+
+// guilty names a task of a job under which so many endpoints were lost that it is not started again.
+// One that was given up is started once more for a caller that submits it again, alone: endpoints
+// that come and go may have been lost under it by chance.
+func (b *Book) guilty(id string) (task string) {
+	for name, lost := range b.suspects {
+		if lost > mostDeaths && jobOf(name) == id {
+			return name
+		}
+	}
+	return ""
+}
+
 // apart reports whether a task may start at an endpoint as far as suspicion goes: a suspected one
 // has an endpoint for itself while it runs, so that the next loss tells whose fault it was, and takes
 // no others with it.
--- a/internal/task/owner/crash_test.go
+++ b/internal/task/owner/crash_test.go
@@ -143,3 +143,37 @@
 		}
 	})
 }
+
+// Guards against a task that crashes endpoints of one owner after the other's.
+func TestSuspicionsOfOtherOwnersAreHeeded(t *testing.T) {
+	is := is.New(t)
+	first, second := bench(64, 64), bench(64, 64)
+	first.Submit(t0, key(1), of("bad", 0, tasks(1, 30, time.Second)))
+	now := t0
+	for range mostDeaths {
+		s := first.Take().Starts
+		begin(first, now, s)
+		first.Lose(now, s[0].At.ID, true, "it was restarted")
+	}
+	told := first.Suspects(now)
+	is.Equal(told[len(told)-1], Suspect{"bad.0.0.0", mostDeaths})
+	is.Equal(len(first.Suspects(now.Add(tellFor+1))), 0)
+	for _, s := range told {
+		second.Heed(now, s)
+	}
+	second.Submit(now, key(2), of("good", 0, tasks(1, 30, time.Second)))
+	second.Submit(now, key(3), of("bad", 0, tasks(1, 30, time.Second)))
+	a := second.Take()
+	is.Equal(len(a.Starts), 2)
+	is.True(a.Starts[0].At != a.Starts[1].At) // once more, and alone
+	third := bench(64, 64)
+	third.Heed(now, Suspect{"bad.0.0.0", mostDeaths + 1})
+	third.Submit(now, key(4), of("bad", 0, tasks(1, 30, time.Second)))
+	a = third.Take()
+	is.Equal(len(a.Starts), 0)
+	is.Equal(a.Tells[0].Answer.Outcome, job.Unknown)
+	third.acquit(now.Add(numsFor - 1))
+	is.Equal(third.guilty("bad"), "bad.0.0.0")
+	third.acquit(now.Add(numsFor))
+	is.Equal(third.guilty("bad"), "")
+}
--- a/internal/task/owner/take.go
+++ b/internal/task/owner/take.go
@@ -21,6 +21,11 @@
 			return
 		}
 	}
+	if task := b.guilty(j.ID); task != "" {
+		b.cfg.Log.Info("job given up", "job", j.ID, "by", key.VM, "task", task, "lost", b.suspects[task])
+		b.acts.Tells = append(b.acts.Tells, Tell{key, job.Answer{Outcome: job.Unknown, Reason: job.Silent, Detail: task + " was running when three endpoints were lost; it is not started again"}})
+		return
+	}
 	if !b.possible(j) {
 		b.refuse(now, key, j, job.NoEndpoint, time.Second, b.lacks())
 		return
--- a/internal/tool/grid/crash_test.go
+++ b/internal/tool/grid/crash_test.go
@@ -38,3 +38,22 @@
 	// A crash takes two or three tasks with it; without crashes 0.97 and more are in aim.
 	is.True(innocent.Share() >= 0.93)
 }
+
+// What happens: a task crashes two endpoints, its job ends as unknown, and its caller submits it again
+// elsewhere, where it crashes two more each time. Why: which tasks are suspected is known to the owner that
+// lost the endpoints alone. What showed it: "task suspected ... lost=1" at owner after owner for one task.
+func TestTasksThatCrashEndpointsAreKnownToAllOwners(t *testing.T) {
+	is := is.New(t)
+	set := Users(80)
+	set.Guilty, set.Span, set.Insist = 1.0/400, 10*time.Second, 3
+	g := play(t, set)
+	blamed := 0
+	for r := range g.sent(every, 0, time.Hour) {
+		if g.Judge.Blamed(r.ID) {
+			blamed++
+		}
+	}
+	all, most := g.Judge.Crashes()
+	t.Logf("%d guilty jobs, submitted up to four times, crashed %d endpoints, one at most %d", blamed, all, most)
+	is.True(most <= 5) // the users' bound: three crashes, and then not three starts more
+}
--- a/internal/tool/grid/grid.go
+++ b/internal/tool/grid/grid.go
@@ -44,6 +44,8 @@
 	// Again makes callers whose VM dies or that find none submit again after a while, as the
 	// users' do. They are counted once, from when they first came.
 	Again bool
+	// Insist is how often callers submit again whose job ended as unknown.
+	Insist int
 	// Guilty is the part of the jobs of which one task crashes whatever endpoint starts it.
 	Guilty float64
 	Log    io.Writer
--- a/internal/tool/grid/load.go
+++ b/internal/tool/grid/load.go
@@ -182,6 +182,15 @@
 			told = res.Answer
 		}
 	}
+	for range g.Insist {
+		if told.Outcome != job.Unknown {
+			break
+		}
+		time.Sleep(again)
+		if res.Answer = g.try(kind, j, domain, left); res.Answer.Outcome != job.Refused {
+			told = res.Answer
+		}
+	}
 	res.Took = time.Since(began)
 	g.Judge.Answered(j.ID, j.Tasks(), told)
 	g.mu.Lock()
