Soak: cordons, crashing tasks and endpoints, room that shrinks, a store that forgets and loses answers

Change: a second stream of troubles with random numbers of its own, so that earlier seeds play the faults they did; one job in a hundred crashes what starts it; endpoints come back as another life. Not in it: cuts between two VMs, since a VM has one address for all, and clocks, which need rights that a test has not.

--- a/internal/plat/fakes/leased.go
+++ b/internal/plat/fakes/leased.go
@@ -87,6 +87,13 @@
 	e.manners = m
 }
 
+// Resize changes what the endpoint has room for; what runs goes on.
+func (e *Leased) Resize(s job.Size) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.Size = s
+}
+
 // Crash ends the endpoint and all that runs there.
 func (e *Leased) Crash() {
 	e.mu.Lock()
--- a/internal/tool/soak/fault.go
+++ b/internal/tool/soak/fault.go
@@ -96,8 +96,9 @@
 	case 6:
 		m := []fakes.Manners{{Late: 0.2, Delay: d}, {Mute: true}, {Hang: true}, {Fail: true}, {Slow: 5}}[s.r.IntN(5)]
 		return fmt.Sprintf("endpoint %d manners %+v for %s", n, m, d), func() {
-			s.eps[n].Set(m)
-			time.AfterFunc(d, func() { s.eps[n].Set(fakes.Manners{}) })
+			e := s.ep(n)
+			e.Set(m)
+			time.AfterFunc(d, func() { e.Set(fakes.Manners{}) })
 		}
 	default:
 		return "all silent connections to endpoints", func() {
@@ -143,9 +144,10 @@
 		s.signal(v, syscall.SIGCONT)
 	}
 	s.store.Down(false)
+	s.store.Lose(false)
 	s.vault.set(pass)
 	for i := range s.eps {
-		s.eps[i].Set(fakes.Manners{})
+		s.ep(i).Set(fakes.Manners{})
 		s.doors[i].set(pass)
 	}
 }
--- a/internal/tool/soak/load.go
+++ b/internal/tool/soak/load.go
@@ -20,6 +20,8 @@
 	patience = 2500 * time.Millisecond
 	// again is how long after a broken connection a caller submits its job once more.
 	again = 1300 * time.Millisecond
+	// guiltyOf is of how many jobs one has a task that crashes what starts it.
+	guiltyOf = 100
 	// tries is how often it does.
 	tries = 2
 )
@@ -35,8 +37,9 @@
 		id := fmt.Sprintf("%08x%08x", s.Seed, n)
 		tasks, run := 1+r.IntN(6), time.Duration(30+r.IntN(600))*time.Millisecond
 		cores := 10 + 20*r.Float64()
+		guilty := s.guilt.IntN(guiltyOf) == 0
 		for i := range tasks {
-			s.judge.Expect(batch.Task{Job: id, Index: i}.String(), fakes.Work{Need: job.Size{Cores: cores}, Run: run})
+			s.judge.Expect(batch.Task{Job: id, Index: i}.String(), fakes.Work{Need: job.Size{Cores: cores}, Run: run, Crash: guilty && i == 0})
 		}
 		prefix := []string{"/u/", "/p/"}[r.IntN(2)]
 		first := r.IntN(len(clients))
--- a/internal/tool/soak/soak.go
+++ b/internal/tool/soak/soak.go
@@ -60,12 +60,17 @@
 	r     *rand.Rand // of the faults, one goroutine
 	// declares is of the settings, so that a seed's other faults stay what they were.
 	declares *rand.Rand
+	// harasses is of what harass plays, troubles what it has played, and guilt of the jobs that crash
+	// their endpoints.
+	harasses, guilt *rand.Rand
+	troubles        []string
 
 	mu     sync.Mutex
 	vms    []*vm
 	eps    []*fakes.Leased
 	doors  []*proxy // before each endpoint
 	vault  *proxy   // before the store
+	lives  int      // of endpoints that were reborn
 	faults []string
 	told   map[job.Outcome]int
 	stops  []func()
@@ -84,7 +89,7 @@
 
 // Run plays one seed.
 func Run(ctx context.Context, o Options) (Report, error) {
-	s := &Soak{Options: o, judge: grid.NewJudge(), store: stand.NewStore(), r: rand.New(rand.NewPCG(o.Seed, 31)), declares: rand.New(rand.NewPCG(o.Seed, 32)), told: map[job.Outcome]int{}}
+	s := &Soak{Options: o, judge: grid.NewJudge(), store: stand.NewStore(), r: rand.New(rand.NewPCG(o.Seed, 31)), declares: rand.New(rand.NewPCG(o.Seed, 32)), harasses: rand.New(rand.NewPCG(o.Seed, 33)), guilt: rand.New(rand.NewPCG(o.Seed, 34)), told: map[job.Outcome]int{}}
 	defer s.end()
 	if err := s.build(); err != nil {
 		return Report{}, fmt.Errorf("soak seed %d: %w", o.Seed, err)
@@ -93,12 +98,13 @@
 	defer cancel()
 	var wg sync.WaitGroup
 	wg.Go(func() { s.disturb(ctx) })
+	wg.Go(func() { s.harass(ctx) })
 	time.Sleep(warm)
 	s.load(ctx, &wg)
 	wg.Wait()
 	s.calm()
 	time.Sleep(settle)
-	rep := Report{Faults: s.faults, Outcomes: s.told, Starts: s.judge.Starts, Broken: s.judge.Broken()}
+	rep := Report{Faults: append(s.faults, s.troubles...), Outcomes: s.told, Starts: s.judge.Starts, Broken: s.judge.Broken()}
 	if n := s.judge.Running(); n > 0 {
 		rep.Broken = append(rep.Broken, fmt.Sprintf("%d runs never ended", n))
 	}
@@ -145,11 +151,14 @@
 
 func domain(n int) string { return fmt.Sprintf("fd-%d", n%2) }
 
+// limits of the endpoints.
+var limits = lease.Limits{Hold: time.Second, Stop: 50 * time.Millisecond}
+
 func (s *Soak) endpoint(i int) error {
-	limits := lease.Limits{Hold: time.Second, Stop: 50 * time.Millisecond}
-	in := lease.Info{ID: fmt.Sprintf("ep-%02d", i), Domain: domain(i), Pool: pool, Size: job.Size{Cores: 64, Memory: 128}}
+	in := lease.Info{ID: fmt.Sprintf("ep-%02d", i), Domain: domain(i), Pool: pool, Size: room}
 	e := fakes.NewLeased(in, limits, s.judge, time.Duration(i)*time.Second, s.Seed+uint64(i))
-	at, err := s.serve(stand.Worker(e))
+	e.Crashed = func() { s.reborn(i, e) }
+	at, err := s.serve(func(ctx *fasthttp.RequestCtx) { stand.Worker(s.ep(i))(ctx) })
 	if err != nil {
 		return err
 	}
@@ -158,6 +167,7 @@
 		return fmt.Errorf("endpoint: %w", err)
 	}
 	in.Addr = p.l.Addr().(*net.TCPAddr).AddrPort()
+	e.Addr = in.Addr
 	s.eps, s.doors = append(s.eps, e), append(s.doors, p)
 	s.store.Put(stand.Workers, in.ID, stand.Entry(in))
 	return nil
--- /dev/null
+++ b/internal/tool/soak/trouble.go
@@ -0,0 +1,123 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"dahliawinch/internal/plat/fakes"
+	"dahliawinch/internal/task/job"
+	"dahliawinch/platform/stand"
+)
+
+const (
+	// cordonLate is when a cordon must be in force on every VM whatever else goes wrong: the store may
+	// be away, and a VM paused or down, for up to 2.7 s each, one after the other.
+	cordonLate = 8 * time.Second
+	// rebornAfter is how long an endpoint is away that has crashed.
+	rebornAfter = 1500 * time.Millisecond
+)
+
+// harass plays what operators, endpoints and the store's history do, beside the faults of disturb.
+func (s *Soak) harass(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(time.Duration(500+s.harasses.IntN(2000)) * time.Millisecond):
+		}
+		name, do := s.trouble()
+		s.troubles = append(s.troubles, name)
+		do()
+	}
+}
+
+// trouble makes one; what lasts ends by itself.
+func (s *Soak) trouble() (string, func()) {
+	n := s.harasses.IntN(len(s.doors))
+	d := time.Duration(300+s.harasses.IntN(2500)) * time.Millisecond
+	switch s.harasses.IntN(5) {
+	case 0:
+		fd, span := domain(n), cordonLate+d
+		return fmt.Sprintf("cordon of %s for %s", fd, span), func() { s.cordon(fd, span) }
+	case 1:
+		return fmt.Sprintf("endpoint %d of half its room for %s", n, d), func() {
+			e := s.ep(n)
+			s.resize(e, 0.5)
+			time.AfterFunc(d, func() { s.resize(e, 1) })
+		}
+	case 2:
+		return "history forgotten", s.store.Forget
+	case 3:
+		return fmt.Sprintf("answers of the store lost for %s", d), func() {
+			s.store.Lose(true)
+			time.AfterFunc(d, func() { s.store.Lose(false) })
+		}
+	default:
+		return fmt.Sprintf("endpoint %d crashes", n), func() {
+			e := s.ep(n)
+			e.Crash()
+			s.reborn(n, e)
+		}
+	}
+}
+
+// ep is the life of an endpoint that answers now.
+func (s *Soak) ep(i int) *fakes.Leased {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.eps[i]
+}
+
+// cordon lets the judge count starts in a failure domain as wrong from cordonLate on.
+func (s *Soak) cordon(fd string, span time.Duration) {
+	s.store.Put(stand.Operator, stand.Cordon(fd), []byte("{}"))
+	from := time.Now().Add(cordonLate)
+	var ids []string
+	for i := range s.doors {
+		if domain(i) == fd {
+			ids = append(ids, s.ep(i).ID)
+		}
+	}
+	for _, id := range ids {
+		s.judge.Shut(id, from)
+	}
+	time.AfterFunc(span, func() {
+		for _, id := range ids {
+			s.judge.Shut(id, time.Time{})
+		}
+		s.store.Put(stand.Operator, stand.Cordon(fd), nil)
+	})
+}
+
+// room is what an endpoint has.
+var room = job.Size{Cores: 64, Memory: 128}
+
+// resize changes an endpoint's room to a part of what it had, and its word on it.
+func (s *Soak) resize(e *fakes.Leased, part float64) {
+	size := job.Size{Cores: part * room.Cores, Memory: part * room.Memory}
+	e.Resize(size)
+	in := e.Info
+	in.Size = size
+	if !e.Dead() {
+		s.store.Put(stand.Workers, in.ID, stand.Entry(in))
+	}
+}
+
+// reborn lets another life answer at a crashed endpoint's address.
+func (s *Soak) reborn(i int, old *fakes.Leased) {
+	time.AfterFunc(rebornAfter, func() {
+		in := old.Info
+		in.Size = room
+		s.mu.Lock()
+		s.lives++
+		in.ID = fmt.Sprintf("ep-%02d-%d", i, s.lives)
+		e := fakes.NewLeased(in, limits, s.judge, time.Duration(i)*time.Second, s.Seed+uint64(100+s.lives))
+		e.Crashed = func() { s.reborn(i, e) }
+		s.eps[i] = e
+		s.mu.Unlock()
+		old.Wake()
+		s.store.Put(stand.Workers, old.ID, nil)
+		s.store.Put(stand.Workers, in.ID, stand.Entry(in))
+	})
+}
