Only a strained VM refuses for late messages; a lost domain does not fill heartbeats

Cause, from reading the change: for 0.1 s after a pause a VM reads heartbeats sent before the others heard it again, and would have refused what it can hand over; and when a domain of 75 VMs is lost, each heartbeat would name all of them as late. Change: refusal needs strain, which needs 0.3 s; 16 late VMs are told at most.

--- a/internal/edge/serve/submit.go
+++ b/internal/edge/serve/submit.go
@@ -139,7 +139,7 @@
 		if !vm.IsValid() {
 			break
 		}
-		if vm != d.cfg.VM && d.delay >= handFor {
+		if vm != d.cfg.VM && d.strained && d.delay >= handFor {
 			d.end(c, job.Answer{Outcome: job.Refused, Reason: job.Silent, Retry: spread(leastRetry), Detail: fmt.Sprintf("this VM's messages come %s late", d.delay)})
 			return
 		}
--- a/internal/mesh/view/strain.go
+++ b/internal/mesh/view/strain.go
@@ -13,6 +13,8 @@
 	// lateLeast is how late heartbeats must come to be told: more than a short pause of a process
 	// takes, and less than the silence after which a VM gets no more work.
 	lateLeast = 250 * time.Millisecond
+	// mostLates bounds how many are told: when a failure domain is lost all of its VMs are late.
+	mostLates = 16
 	// leastWitnesses is how many VMs must be heard for their word on this one to count. Of two VMs
 	// neither can tell whose link is slow.
 	leastWitnesses = 2
@@ -35,7 +37,7 @@
 		if v.Often(m) {
 			every = Period
 		}
-		if by := max(m.Late, now.Sub(m.Heard)-every); by >= lateLeast {
+		if by := max(m.Late, now.Sub(m.Heard)-every); by >= lateLeast && len(all) < mostLates {
 			all = append(all, frame.Late{VM: m.VM, By: by})
 		}
 	}
--- a/internal/task/owner/owner_test.go
+++ b/internal/task/owner/owner_test.go
@@ -343,3 +343,21 @@
 	b.Tick(then.Add(360 * time.Millisecond))
 	is.Equal(refused(), 1)
 }
+
+// What happens: another VM takes an endpoint from a living owner; the jobs that ran there stand still for
+// 0.95 s before their tasks start elsewhere. Why: the owner doesn't hear that the next one has stopped
+// them, and waits until the lease must have run out. What showed it: "endpoint lost ... runs=2" and the
+// next "start" of the same task 0.95 s later. The bound is what a stop takes, and two heartbeats.
+func TestTasksOfATakenEndpointGoOnSoon(t *testing.T) {
+	is := is.New(t)
+	b := bench(64, 64)
+	b.Submit(t0, key(1), of("j1", 0, tasks(1, 30, 200*time.Millisecond)))
+	a := b.Take()
+	begin(b, t0, a.Starts)
+	now := t0.Add(50 * time.Millisecond)
+	b.Lose(now, a.Starts[0].At.ID, false, "another VM owns it")
+	b.Take()
+	b.Tick(now.Add(250 * time.Millisecond))
+	a = b.Take()
+	is.Equal(len(a.Starts)+len(a.Tells), 1)
+}
--- a/internal/tool/grid/fault_test.go
+++ b/internal/tool/grid/fault_test.go
@@ -396,3 +396,33 @@
 		is.Equal(failed, 0)
 	}
 }
+
+// What happens: one VM hears no other for ten seconds and is not heard, while it reaches the store and all
+// endpoints. After three seconds it claims the endpoints of living owners, of all domains, and jobs on them
+// fail. Why: silence of everybody is taken for their loss. What showed it: "group ... no VM owns it" for
+// every group at that VM 3 to 5 s after the cut, and "group dropped" at the others.
+func TestVMThatHearsNobodyTakesNothing(t *testing.T) {
+	is := is.New(t)
+	taken := &moments{words: []string{"msg=group", "no VM owns it"}}
+	set := faulty(func(g *Grid) {
+		v := g.VM(7)
+		v.alone.Store(true)
+		time.Sleep(10 * time.Second)
+		v.alone.Store(false)
+	})
+	set.Log = taken
+	g := play(t, set)
+	for s := range 5 {
+		at := hit + time.Duration(2*s)*time.Second
+		t.Logf("%s after: %+v", at-hit, g.Counts(every, at, at+2*time.Second))
+	}
+	claimed := 0
+	for _, at := range taken.at {
+		if at.After(g.began.Add(hit)) {
+			claimed++
+		}
+	}
+	t.Logf("%d groups claimed after the cut", claimed)
+	is.True(g.Counts(every, hit+2*time.Second, hit+8*time.Second).Share() >= 0.95)
+	is.Equal(claimed, 0)
+}
--- a/internal/tool/grid/grid.go
+++ b/internal/tool/grid/grid.go
@@ -39,6 +39,8 @@
 	// Deaf is how many VMs the store turns away at first, and for how long.
 	Deaf    int
 	DeafFor time.Duration
+	// Weigh counts the bytes of control messages, as they are coded.
+	Weigh bool
 	// Link is what each VM can send, in bytes a second; 0 for no bound.
 	Link int
 	// Again makes callers whose VM dies or that find none submit again after a while, as the
@@ -79,6 +81,8 @@
 	// Casts and StoreCalls count what the VMs sent each other and asked of the store, and
 	// Records and Others what it gave them: of endpoints, and of all else.
 	Casts, StoreCalls, Records, Others atomic.Int64
+	// Control is the bytes of what the VMs sent each other, but for jobs and their answers.
+	Control atomic.Int64
 
 	ctx    context.Context //nolint:containedctx // the life of the grid
 	end    context.CancelFunc
--- a/internal/tool/grid/net.go
+++ b/internal/tool/grid/net.go
@@ -82,6 +82,7 @@
 	dead   atomic.Bool
 	ready  atomic.Bool // the balancer sends callers
 	orders atomic.Int64
+	alone  atomic.Bool // no message passes between it and other VMs
 	// shunned is set while the balancer finds the VM not ready.
 	shunned atomic.Bool
 }
@@ -113,7 +114,7 @@
 			}
 			time.Sleep(healed)
 		}
-		if l.to.dead.Load() || l.g.linkless(l.from.Domain, l.to.Domain) {
+		if l.to.dead.Load() || l.to.alone.Load() || l.g.linkless(l.from.Domain, l.to.Domain) {
 			return
 		}
 		l.to.clock.gate() // a paused VM reads later
@@ -132,10 +133,16 @@
 // Cast implements serve.Mesh.
 func (p *post) Cast(to netip.AddrPort, m frame.Msg) error {
 	p.g.Casts.Add(1)
+	if p.g.Weigh {
+		p.g.weigh(m)
+	}
 	vm := p.g.at(to)
 	if vm == nil || vm.dead.Load() || p.from.dead.Load() {
 		return errDead
 	}
+	if p.from.alone.Load() || vm.alone.Load() {
+		return errCut
+	}
 	if vm.clock.stands() > deaf && !frame.Answering(m) {
 		return errCut
 	}
@@ -154,6 +161,19 @@
 	return nil
 }
 
+// weigh counts a message's bytes if it is one of control.
+func (g *Grid) weigh(m frame.Msg) {
+	switch m.(type) {
+	case *frame.Hand, *frame.Told, *frame.Drop:
+		return
+	}
+	b, err := frame.Append(nil, m)
+	if err != nil {
+		panic(err) // messages of this program can be coded
+	}
+	g.Control.Add(int64(len(b)))
+}
+
 // Spread implements serve.Mesh.
 func (p *post) Spread(to []netip.AddrPort, m frame.Msg) {
 	for _, vm := range to {
--- a/internal/tool/grid/scale_test.go
+++ b/internal/tool/grid/scale_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"fmt"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -114,6 +115,29 @@
 	}
 }
 
+// What happens: the sweep's day at 300 VMs is given up for its processor time; a VM sends 177 KB a second
+// there and 34 at 30. Cause: not known; heartbeats go to all neighbours, which are 74 then. The bound is the
+// users': 16 KB a second for the control of one daemon.
+func TestControlStaysWithinItsShare(t *testing.T) {
+	fleets := []int{24, 72}
+	if *large {
+		fleets = append(fleets, 300)
+	}
+	for _, vms := range fleets {
+		t.Run(fmt.Sprint(vms), func(t *testing.T) {
+			is := is.New(t)
+			set := grown(vms)
+			set.Weigh, set.Load, set.Span = true, 100, 3*time.Second
+			var from int64
+			set.Faults = []Fault{{At: set.Warm, Do: func(g *Grid) { from = g.Control.Load() }}, {At: set.Warm + set.Span, Do: func(g *Grid) { from = g.Control.Load() - from }}}
+			play(t, set)
+			rate := float64(from) / float64(vms) / set.Span.Seconds()
+			t.Logf("%d VMs: %.1f KB a second of control for each", vms, rate/1000)
+			is.True(rate <= 16_000)
+		})
+	}
+}
+
 // Symptom: the endpoints of a lost failure domain are taken over again and again, and jobs
 // on them fail each time. Sequence: all VMs of one of four domains die for good where 72
 // others live, of which half keep no link to each other. Cause: several claim the same
