Soak: one cordon at a time, judged from when VMs in touch may know of it

Change: no second cordon while one stands; a cordon must be in force 3 s after the last fault that may keep it from a VM, which is what operators are told of any change.

--- a/internal/tool/soak/fault.go
+++ b/internal/tool/soak/fault.go
@@ -21,6 +21,7 @@
 		}
 		name, do := s.draw()
 		s.faults = append(s.faults, name)
+		s.postpone(longest)
 		do()
 		if s.declares.IntN(4) == 0 {
 			s.declare(s.vms[s.declares.IntN(len(s.vms))])
@@ -61,6 +62,9 @@
 // settingsFor is how long changed settings stand: as long as a daemon takes to look.
 const settingsFor = 1500 * time.Millisecond
 
+// longest is how long a fault lasts at most, and a VM that it ended takes to be back.
+const longest = 3 * time.Second
+
 // draw makes one fault; what lasts is undone in the background or by calm.
 func (s *Soak) draw() (string, func()) {
 	v := s.vms[s.r.IntN(len(s.vms))]
--- a/internal/tool/soak/soak.go
+++ b/internal/tool/soak/soak.go
@@ -68,9 +68,12 @@
 	mu     sync.Mutex
 	vms    []*vm
 	eps    []*fakes.Leased
-	doors  []*proxy // before each endpoint
-	vault  *proxy   // before the store
-	lives  int      // of endpoints that were reborn
+	doors  []*proxy  // before each endpoint
+	vault  *proxy    // before the store
+	lives  int       // of endpoints that were reborn
+	shut   []string  // endpoints that are cordoned,
+	force  time.Time // and from when on a VM in touch may know
+	faulty time.Time // until then VMs may hear nothing
 	faults []string
 	told   map[job.Outcome]int
 	stops  []func()
--- a/internal/tool/soak/trouble.go
+++ b/internal/tool/soak/trouble.go
@@ -5,15 +5,18 @@
 	"fmt"
 	"time"
 
+	"dahliawinch/internal/base/timer"
 	"dahliawinch/internal/plat/fakes"
 	"dahliawinch/internal/task/job"
 	"dahliawinch/platform/stand"
 )
 
 const (
-	// cordonLate is when a cordon must be in force on every VM whatever else goes wrong: the store may
-	// be away, and a VM paused or down, for up to 2.7 s each, one after the other.
-	cordonLate = 8 * time.Second
+	// cordonLate is when a cordon must be in force on every VM that reaches the store, as any change of
+	// what operators declare; faults of the store, pauses and restarts postpone it.
+	cordonLate = 3 * time.Second
+	// cordonLeast is how long one stands at least.
+	cordonLeast = 5 * time.Second
 	// rebornAfter is how long an endpoint is away that has crashed.
 	rebornAfter = 1500 * time.Millisecond
 )
@@ -38,7 +41,10 @@
 	d := time.Duration(300+s.harasses.IntN(2500)) * time.Millisecond
 	switch s.harasses.IntN(5) {
 	case 0:
-		fd, span := domain(n), cordonLate+d
+		fd, span := domain(n), cordonLeast+d
+		if s.cordoned() {
+			return "no second cordon", func() {} // with both domains cordoned there is no work to do
+		}
 		return fmt.Sprintf("cordon of %s for %s", fd, span), func() { s.cordon(fd, span) }
 	case 1:
 		return fmt.Sprintf("endpoint %d of half its room for %s", n, d), func() {
@@ -50,6 +56,7 @@
 		return "history forgotten", s.store.Forget
 	case 3:
 		return fmt.Sprintf("answers of the store lost for %s", d), func() {
+			s.postpone(d)
 			s.store.Lose(true)
 			time.AfterFunc(d, func() { s.store.Lose(false) })
 		}
@@ -72,17 +79,21 @@
 // cordon lets the judge count starts in a failure domain as wrong from cordonLate on.
 func (s *Soak) cordon(fd string, span time.Duration) {
 	s.store.Put(stand.Operator, stand.Cordon(fd), []byte("{}"))
-	from := time.Now().Add(cordonLate)
 	var ids []string
 	for i := range s.doors {
 		if domain(i) == fd {
 			ids = append(ids, s.ep(i).ID)
 		}
 	}
-	for _, id := range ids {
-		s.judge.Shut(id, from)
-	}
+	s.mu.Lock()
+	s.shut = ids
+	s.force = time.Now()
+	s.mu.Unlock()
+	s.postpone(0)
 	time.AfterFunc(span, func() {
+		s.mu.Lock()
+		s.shut = nil
+		s.mu.Unlock()
 		for _, id := range ids {
 			s.judge.Shut(id, time.Time{})
 		}
@@ -90,6 +101,28 @@
 	})
 }
 
+// cordoned reports whether a cordon stands.
+func (s *Soak) cordoned() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.shut) > 0
+}
+
+// postpone allows for a fault of some time that may keep VMs from hearing of a cordon: faults may
+// follow each other without a pause.
+func (s *Soak) postpone(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faulty = timer.Later(s.faulty, time.Now().Add(d))
+	if len(s.shut) == 0 {
+		return
+	}
+	s.force = timer.Later(s.force, s.faulty)
+	for _, id := range s.shut {
+		s.judge.Shut(id, s.force.Add(cordonLate))
+	}
+}
+
 // room is what an endpoint has.
 var room = job.Size{Cores: 64, Memory: 128}
 
