Soak: the judge of cordons is strict again

Cause: it had been widened without a trace: every fault postponed it by six seconds, and faults come each 0.3 to 1.8 s, so that it judged next to nothing. Change: only faults of the store and pauses postpone it, by what they last; then a cordon must be in force within 3 s.

--- a/internal/tool/soak/fault.go
+++ b/internal/tool/soak/fault.go
@@ -21,7 +21,6 @@
 		}
 		name, do := s.draw()
 		s.faults = append(s.faults, name)
-		s.postpone(longest)
 		do()
 		if s.declares.IntN(4) == 0 {
 			s.declare(s.vms[s.declares.IntN(len(s.vms))])
@@ -62,9 +61,6 @@
 // settingsFor is how long changed settings stand: as long as a daemon takes to look.
 const settingsFor = 1500 * time.Millisecond
 
-// longest is how long a fault lasts at most, and a VM that it ended takes to be back.
-const longest = 3 * time.Second
-
 // draw makes one fault; what lasts is undone in the background or by calm.
 func (s *Soak) draw() (string, func()) {
 	v := s.vms[s.r.IntN(len(s.vms))]
@@ -77,11 +73,13 @@
 		return fmt.Sprintf("stop vm %d", v.n), func() { s.restart(v, syscall.SIGTERM, 0) }
 	case 2:
 		return fmt.Sprintf("pause vm %d for %s", v.n, d), func() {
+			s.postpone(d)
 			s.signal(v, syscall.SIGSTOP)
 			time.AfterFunc(d, func() { s.signal(v, syscall.SIGCONT) })
 		}
 	case 3:
 		return fmt.Sprintf("store away for %s", d), func() {
+			s.postpone(d)
 			s.store.Down(true)
 			time.AfterFunc(d, func() { s.store.Down(false) })
 		}
@@ -94,6 +92,7 @@
 	case 5:
 		m := []mode{delay, silent, refuse}[s.r.IntN(3)]
 		return fmt.Sprintf("store proxy %d for %s", m, d), func() {
+			s.postpone(d)
 			s.vault.set(m)
 			time.AfterFunc(d, func() { s.vault.set(pass) })
 		}
--- a/internal/tool/soak/trouble.go
+++ b/internal/tool/soak/trouble.go
@@ -13,7 +13,7 @@
 
 const (
 	// cordonLate is when a cordon must be in force on every VM that reaches the store, as any change of
-	// what operators declare; faults of the store, pauses and restarts postpone it.
+	// what operators declare; faults of the store and pauses postpone it by what they last.
 	cordonLate = 3 * time.Second
 	// cordonLeast is how long one stands at least.
 	cordonLeast = 5 * time.Second
