--- a/internal/plat/fakes/leased.go
+++ b/internal/plat/fakes/leased.go
@@ -94,6 +94,13 @@
 	e.Size = s
 }
 
+// Known is what the endpoint is known as, with the room that it has now.
+func (e *Leased) Known() lease.Info {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.Info
+}
+
 // Crash ends the endpoint and all that runs there.
 func (e *Leased) Crash() {
 	e.mu.Lock()
--- a/internal/tool/soak/trouble.go
+++ b/internal/tool/soak/trouble.go
@@ -130,8 +130,7 @@
 func (s *Soak) resize(e *fakes.Leased, part float64) {
 	size := job.Size{Cores: part * room.Cores, Memory: part * room.Memory}
 	e.Resize(size)
-	in := e.Info
-	in.Size = size
+	in := e.Known()
 	if !e.Dead() {
 		s.store.Put(stand.Workers, in.ID, stand.Entry(in))
 	}
@@ -140,7 +139,7 @@
 // reborn lets another life answer at a crashed endpoint's address.
 func (s *Soak) reborn(i int, old *fakes.Leased) {
 	time.AfterFunc(rebornAfter, func() {
-		in := old.Info
+		in := old.Known()
 		in.Size = room
 		s.mu.Lock()
 		s.lives++
