A VM that all others fall silent to at once claims nothing

Callers saw: while one VM's messages to the others are lost, 18 of 217 jobs in two seconds fail and 34 are refused, though every endpoint has a living owner.

Cause: silence of all was taken for the loss of all, as there is no witness left to ask.

A group for which an endpoint names a higher fence is left alone, also in the own domain: no heartbeat would tell of its owner. Ruled out: the store's list of VMs, whose entries outlive their VMs; endpoints, which tell a lower fence nothing of their owner.

--- a/internal/edge/serve/beat.go
+++ b/internal/edge/serve/beat.go
@@ -27,6 +27,7 @@
 	}
 	d.mu.Lock()
 	d.lookLate(now)
+	d.lookAlone(now)
 	d.decide(now)
 	b := d.pulse(now)
 	d.perform()
@@ -53,6 +54,17 @@
 	d.log.Info("vm strained", "on", on, "delay", d.delay)
 }
 
+// lookAlone takes in whether this VM seems to be cut off from all others; the caller holds the lock.
+func (d *Node) lookAlone(now time.Time) {
+	on := d.view.Isolated(now)
+	if on == d.isolated {
+		return
+	}
+	d.isolated = on
+	d.claims.Isolate(on)
+	d.log.Info("vm isolated", "on", on, "members", len(d.view.Members()))
+}
+
 // hail sends a heartbeat to the VMs that this one was just told of and has not heard: after a
 // loss of all VMs each waits with its claims until its neighbours are heard, and the next
 // heartbeat would be up to 0.1 s later. Without it played days that end with such a loss are
--- a/internal/edge/serve/node.go
+++ b/internal/edge/serve/node.go
@@ -127,6 +127,7 @@
 	strain    view.Strain
 	strained  bool          // this VM's messages reach the others late
 	delay     time.Duration // by so much
+	isolated  bool          // it seems to be cut off from all others
 	lossy     time.Time     // until then orders are thought to get lost
 }
 
--- a/internal/edge/serve/own.go
+++ b/internal/edge/serve/own.go
@@ -226,9 +226,9 @@
 }
 
 // denied takes in that an endpoint obeys another VM, or that another life answers at its
-// address; the caller holds the lock. An owner of the own domain hears of the other's claim;
-// one of another domain's group may not be linked to it, and would fight for the group without
-// end.
+// address; the caller holds the lock. An owner of the own domain hears of the other's claim, unless
+// it is isolated; one of another domain's group may not be linked to it, and would fight for the group
+// without end.
 func (d *Node) denied(why agent.Refusal, ep *lease.Endpoint, fence uint64) {
 	if why == agent.Dead {
 		d.roster.bury(ep.ID)
@@ -238,7 +238,7 @@
 	}
 	d.claims.Raise(fence)
 	g := groupOf(ep.Info)
-	if o := d.claims.Owns(g); g.Domain == d.cfg.Domain || o == nil || o.Giving {
+	if o := d.claims.Owns(g); (g.Domain == d.cfg.Domain && !d.isolated) || o == nil || o.Giving {
 		return
 	}
 	now := d.now()
--- a/internal/mesh/claim/claim.go
+++ b/internal/mesh/claim/claim.go
@@ -80,6 +80,8 @@
 	listed bool // the store's list of VMs was read
 	// strained says that this VM's messages reach the others late.
 	strained bool
+	// isolated says that this VM seems to be cut off from all others.
+	isolated bool
 	// claims is filled anew by each round; a map for each would be a fifth of all that a VM
 	// among 97 allocates.
 	claims map[Group]claimant
@@ -209,7 +211,7 @@
 			}
 			continue
 		}
-		if leaving || on.kept || b.shunned(now, g) || !b.settled(now, g, peers) || b.best(now, g, peers, on.giving) != b.self {
+		if leaving || b.isolated || on.kept || b.shunned(now, g) || !b.settled(now, g, peers) || b.best(now, g, peers, on.giving) != b.self {
 			continue
 		}
 		if fence == 0 {
@@ -244,6 +246,10 @@
 // neighbours then whose don't, and it takes none over while there are such.
 func (b *Book) Strain(on bool) { b.strained = on }
 
+// Isolate tells the book whether this VM seems to be cut off from all others. It keeps what it owns then and
+// claims nothing: silence does not show that an owner is lost.
+func (b *Book) Isolate(on bool) { b.isolated = on }
+
 // relieved reports whether a neighbour can take over what this VM owns.
 func (b *Book) relieved(peers []Peer) bool {
 	return b.strained && slices.ContainsFunc(peers, func(p Peer) bool { return p.Domain == b.domain && p.fit() })
--- a/internal/tool/grid/store_test.go
+++ b/internal/tool/grid/store_test.go
@@ -29,6 +29,16 @@
 	return len(b), nil
 }
 
+// within counts the lines between two moments.
+func (m *moments) within(from, to time.Time) (n int) {
+	for _, at := range m.at {
+		if at.After(from) && at.Before(to) {
+			n++
+		}
+	}
+	return n
+}
+
 // Symptom: one VM acts on a configuration that was replaced seconds ago, and its neighbours hear
 // of the new one a second late. Sequence: the store turns the VM away that reads for its failure
 // domain, and serves the others. Cause: it remains the reader, posts nothing, and hears none of
