A VM that heard nobody yet, or again, does not claim other domains' endpoints

Callers saw: a VM that is restarted and hears nobody for five seconds claims 42 groups of living owners; 32 of 431 jobs fail and 137 are refused.

Cause: nothing heard was taken for nobody there after 1.5 s; and with the first neighbour heard, up to 0.2 s before the others, what these own counted as unowned. Evidence: 'group ... no VM owns it' for all domains at 12.100 s, 'vm alive' for their owners at 12.101 to 12.201 s; 23 of 25 jobs lost with 'no endpoint here has what a task needs'.

Change: while several VMs are listed and none was heard, groups of other domains wait ten seconds; after that, and after an isolation, a VM listens for half a second. Claims in the own domain stay as quick as they were, since after a loss of all every job waits for them: that part stays red (11 groups).

Tests of losses, starts, cuts and heals pass.

--- a/internal/mesh/claim/claim.go
+++ b/internal/mesh/claim/claim.go
@@ -31,6 +31,12 @@
 	// settleFar to groups of other domains.
 	settleAlone = time.Second
 	settleFar   = 1500 * time.Millisecond
+	// settleUnheard applies to groups of other domains while no VM has been heard at all, though
+	// several are listed: more likely this VM is cut off than all others are lost for good.
+	settleUnheard = 10 * time.Second
+	// rejoin is how long a VM that was cut off listens before it claims again: the others are heard one by
+	// one, up to a heartbeat between failure domains and its way apart.
+	rejoin = 500 * time.Millisecond
 	// patience is how long a VM of a group's own failure domain must be there before a
 	// VM of another domain hands the group over: it may be one that keeps restarting.
 	patience = 2 * time.Second
@@ -80,8 +86,10 @@
 	listed bool // the store's list of VMs was read
 	// strained says that this VM's messages reach the others late.
 	strained bool
-	// isolated says that this VM seems to be cut off from all others.
-	isolated bool
+	// isolated says that this VM seems to be cut off from all others; alone is when it last did, and
+	// unheard when none of them had been heard yet.
+	isolated       bool
+	alone, unheard time.Time
 	// claims is filled anew by each round; a map for each would be a fifth of all that a VM
 	// among 97 allocates.
 	claims map[Group]claimant
@@ -196,6 +204,7 @@
 	}
 	fence := uint64(0) // one for all groups of a round, so that a heartbeat names it once
 	b.count(seats, peers)
+	b.listen(now, peers)
 	spare := b.spare(now, seats, peers)
 	relieved := b.relieved(peers)
 	for _, g := range seats {
@@ -227,8 +236,14 @@
 // domain is not known may be a neighbour.
 func (b *Book) settled(now time.Time, g Seat, peers []Peer) bool {
 	age := now.Sub(b.began)
+	if now.Sub(b.alone) < rejoin {
+		return false
+	}
 	if g.Domain != b.domain {
-		return age >= settleFar
+		if b.unheard.Equal(now) { // still
+			return age >= settleUnheard
+		}
+		return age >= settleFar && now.Sub(b.unheard) >= rejoin
 	}
 	near := func(p Peer) bool { return p.Domain == b.domain }
 	silent := slices.ContainsFunc(peers, func(p Peer) bool { return p.Listed && !p.Absent && (near(p) || p.Domain == "") })
@@ -242,6 +257,19 @@
 	}
 }
 
+// listen notes whether others are heard.
+//
+// What goes wrong without it: a VM starts, or comes back from a cut, and hears one neighbour first. It claims
+// the endpoints of all whose heartbeats are on their way. One notices "group" lines of one VM for every group.
+func (b *Book) listen(now time.Time, peers []Peer) {
+	if b.isolated {
+		b.alone = now
+	}
+	if len(peers) > 1 && !slices.ContainsFunc(peers, func(p Peer) bool { return !p.Listed }) {
+		b.unheard = now
+	}
+}
+
 // Strain tells the book whether this VM's messages reach the others late. Its groups go to
 // neighbours then whose don't, and it takes none over while there are such.
 func (b *Book) Strain(on bool) { b.strained = on }
--- a/internal/mesh/claim/claim_test.go
+++ b/internal/mesh/claim/claim_test.go
@@ -85,6 +85,38 @@
 	is.Equal(len(k.Decide(t0.Add(settle), false, gs[:1], []Peer{{VM: b, Listed: true}})), 0)
 }
 
+// Guards against a VM that is cut off when it starts and claims the endpoints of all others, or does so
+// when it hears the first of them.
+func TestVMThatHeardNobodyClaimsNothingFar(t *testing.T) {
+	is := is.New(t)
+	k := New(a, "x", 1, t0)
+	c := netip.MustParseAddrPort("10.0.0.3:1")
+	peers := []Peer{{VM: b, Domain: "y", Listed: true, Absent: true}, {VM: c, Domain: "z", Listed: true, Absent: true}}
+	far := []Seat{{Group: y}}
+	at := t0.Add(settleFar)
+	is.Equal(len(k.Decide(at, false, far, peers)), 0)
+	peers[1] = Peer{VM: c, Domain: "z", Live: true}
+	is.Equal(len(k.Decide(at.Add(1), false, far, peers)), 0) // the owner may be heard next
+	alone := New(a, "x", 1, t0)
+	is.Equal(len(alone.Decide(at, false, far, peers[:1])), 1) // the only other one may well be lost
+	for i := range peers {
+		peers[i] = Peer{VM: peers[i].VM, Domain: peers[i].Domain, Listed: true}
+	}
+	is.Equal(len(k.Decide(t0.Add(settleUnheard), false, far, peers)), 1)
+}
+
+// Guards against a VM that comes back from a cut, hears one neighbour first, and claims what the others own.
+func TestVMThatWasIsolatedListensFirst(t *testing.T) {
+	is := is.New(t)
+	k := New(a, "x", 1, t0)
+	at := t0.Add(time.Hour)
+	k.Isolate(true)
+	is.Equal(len(k.Decide(at, false, gs, nil)), 0)
+	k.Isolate(false)
+	is.Equal(len(k.Decide(at.Add(rejoin-1), false, gs, nil)), 0)
+	is.Equal(len(k.Decide(at.Add(rejoin), false, gs, nil)), 2)
+}
+
 func TestExactlyOneOfTwoThatHearEachOtherClaims(t *testing.T) {
 	is := is.New(t)
 	now := t0.Add(settleAlone)
--- a/internal/tool/grid/found_test.go
+++ b/internal/tool/grid/found_test.go
@@ -71,6 +71,7 @@
 		is.Equal(claimed, 0)
 	}
 }
+
 // What happens: a VM is restarted while its messages to others are lost for five seconds, and takes endpoints
 // from living owners, whose jobs fail. Why: it has heard nobody since its start, and takes that for a loss of
 // all others. What showed it: "group ... no VM owns it" at that VM 1 and 1.5 s after its start.
@@ -85,4 +86,3 @@
 		v.alone.Store(false)
 	})
 }
-
--- a/internal/tool/grid/net.go
+++ b/internal/tool/grid/net.go
@@ -184,10 +184,10 @@
 // unanswered is how long two dials to a machine without power take.
 const unanswered = 250 * time.Millisecond
 
-// Absent implements serve.Mesh: machines of dead VMs have no power.
+// Absent implements serve.Mesh: machines of dead VMs have no power, and no path is one that answers.
 func (p *post) Absent(to netip.AddrPort) bool {
 	vm := p.g.at(to)
-	return (vm == nil || vm.dead.Load()) && time.Since(p.from.born) >= unanswered
+	return (vm == nil || vm.dead.Load() || vm.alone.Load() || p.from.alone.Load()) && time.Since(p.from.born) >= unanswered
 }
 
 func delay(a, b string) time.Duration {
