Soak: an endpoint that has crashed does not crash again

Cause: in the soak's own code. A dead endpoint was crashed a second time, by a task that was to crash it later or by the next trouble, and a third life took the place of the second, which was never crashed and ran on. Evidence: life ep-04-8 answers as dead 1.2 s after its first order, with four runs and no fault at that time, which is 1.5 s after a moment at which the life before it had been dead for 1.4 s. The product saw another life answer and did right.

Change: only the first crash of a life counts.

--- a/internal/plat/fakes/leased.go
+++ b/internal/plat/fakes/leased.go
@@ -101,23 +101,29 @@
 	return e.Info
 }
 
-// Crash ends the endpoint and all that runs there.
-func (e *Leased) Crash() {
+// Crash ends the endpoint and all that runs there; it reports false for one that had crashed before.
+func (e *Leased) Crash() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.dead {
+		return false
+	}
 	e.dead = true
 	for n := range e.runs {
 		e.end(n, lease.Gone)
 	}
+	return true
 }
 
 // fall ends the endpoint as a task that crashes it does: whoever asks hears nothing until another
 // life answers at its address.
 func (e *Leased) fall() {
+	if !e.Crash() {
+		return
+	}
 	e.mu.Lock()
 	e.manners.Mute = true
 	e.mu.Unlock()
-	e.Crash()
 	if e.Crashed != nil {
 		e.Crashed()
 	}
--- a/internal/tool/soak/trouble.go
+++ b/internal/tool/soak/trouble.go
@@ -62,9 +62,9 @@
 		}
 	default:
 		return fmt.Sprintf("endpoint %d crashes", n), func() {
-			e := s.ep(n)
-			e.Crash()
-			s.reborn(n, e)
+			if e := s.ep(n); e.Crash() {
+				s.reborn(n, e)
+			}
 		}
 	}
 }
