--- a/internal/tool/grid/calm_test.go
+++ b/internal/tool/grid/calm_test.go
@@ -34,6 +34,15 @@
 	t.Logf("earned %.3f, starts %d, stopped %d", g.Earned(from, to), g.Judge.Starts, g.Judge.Stops)
 }
 
+// steps prints how the jobs of each two seconds from a moment on ended.
+func steps(t *testing.T, g *Grid, from time.Duration, n int) {
+	t.Helper()
+	for i := range n {
+		at := from + time.Duration(2*i)*time.Second
+		t.Logf("%s after: %+v", at-from, g.Counts(every, at, at+2*time.Second))
+	}
+}
+
 func TestCalmDayMeetsObjectives(t *testing.T) {
 	is := is.New(t)
 	set := Users(100)
--- a/internal/tool/grid/found_test.go
+++ b/internal/tool/grid/found_test.go
@@ -61,10 +61,7 @@
 		set := faulty(func(g *Grid) { do(g, g.VM(vm)) })
 		set.Seed, set.Log = seed+1, taken
 		g := play(t, set)
-		for s := range 5 {
-			at := hit + time.Duration(2*s)*time.Second
-			t.Logf("%s after: %+v", at-hit, g.Counts(every, at, at+2*time.Second))
-		}
+		steps(t, g, hit, 5)
 		claimed := taken.within(g.began.Add(hit), g.began.Add(hit+span))
 		t.Logf("%d groups claimed during the cut", claimed)
 		is.True(g.Counts(every, hit+2*time.Second, hit+8*time.Second).Share() >= 0.95)
@@ -103,9 +100,6 @@
 	})
 	set.Log = dropped
 	g := play(t, set)
-	for s := range 5 {
-		at := hit + time.Duration(2*s)*time.Second
-		t.Logf("%s after: %+v", at-hit, g.Counts(every, at, at+2*time.Second))
-	}
+	steps(t, g, hit, 5)
 	is.Equal(len(dropped.at), 0)
 }
--- a/internal/tool/grid/narrow_test.go
+++ b/internal/tool/grid/narrow_test.go
@@ -98,10 +98,7 @@
 	set.Link = 1_000_000
 	set.Faults = []Fault{{At: hit, Do: func(g *Grid) { g.Owner("fd-a").up.narrow(10) }}}
 	g := play(t, set)
-	for s := range 5 {
-		at := hit + time.Duration(2*s)*time.Second
-		t.Logf("%s after: %+v", at-hit, g.Counts(every, at, at+2*time.Second))
-	}
+	steps(t, g, hit, 5)
 	is.True(g.Counts(every, hit+2*time.Second, hit+8*time.Second).Share() >= 0.95)
 }
 
@@ -120,10 +117,7 @@
 			set.Link = 1_000_000
 			set.Faults = []Fault{{At: hit, Do: func(g *Grid) { g.Owner("fd-a").up.narrow(times) }}}
 			g := play(t, set)
-			for s := range 5 {
-				at := hit + time.Duration(2*s)*time.Second
-				t.Logf("%s after: %+v", at-hit, g.Counts(every, at, at+2*time.Second))
-			}
+			steps(t, g, hit, 5)
 			is.True(g.Counts(every, hit+2*time.Second, hit+8*time.Second).Share() >= 0.95)
 		})
 	}
@@ -144,10 +138,7 @@
 		t.Error("every VM owns endpoints")
 	}}}
 	g := play(t, set)
-	for s := range 5 {
-		at := hit + time.Duration(2*s)*time.Second
-		t.Logf("%s after: %+v", at-hit, g.Counts(every, at, at+2*time.Second))
-	}
+	steps(t, g, hit, 5)
 	is.True(g.Counts(every, hit+2*time.Second, hit+8*time.Second).Share() >= 0.95)
 }
 
@@ -167,9 +158,6 @@
 		}
 	}}}
 	g := play(t, set)
-	for s := range 5 {
-		at := hit + time.Duration(2*s)*time.Second
-		t.Logf("%s after: %+v", at-hit, g.Counts(every, at, at+2*time.Second))
-	}
+	steps(t, g, hit, 5)
 	is.True(g.Counts(every, hit+2*time.Second, hit+8*time.Second).Share() >= 0.95)
 }
--- a/internal/tool/grid/scale_test.go
+++ b/internal/tool/grid/scale_test.go
@@ -160,10 +160,7 @@
 		{At: lost + 13*time.Second, Do: func(g *Grid) { late, served = dropped.n.Load(), g.Owner("fd-a") != nil }},
 	}
 	g := play(t, set)
-	for s := range 6 {
-		at := lost + time.Duration(2*s)*time.Second
-		t.Logf("%s after the loss: %+v", at-lost, g.Counts(every, at, at+2*time.Second))
-	}
+	steps(t, g, lost, 6)
 	t.Logf("groups dropped: %d within 8 s, %d in the next 5", early, late-early)
 	last := g.Counts(every, lost+8*time.Second, lost+13*time.Second)
 	is.True(served)
@@ -188,10 +185,7 @@
 	set.Log = &dropped
 	set.Faults = []Fault{{At: lost, Do: func(g *Grid) { g.KillDomain("fd-a") }}}
 	g := play(t, set)
-	for s := range 6 {
-		at := lost + time.Duration(2*s)*time.Second
-		t.Logf("%s after the loss: %+v", at-lost, g.Counts(every, at, at+2*time.Second))
-	}
+	steps(t, g, lost, 6)
 	t.Logf("groups dropped: %d", dropped.n.Load())
 	is.Equal(g.Counts(every, lost+4*time.Second, lost+12*time.Second).Failed, 0)
 }
--- a/internal/tool/local/local_test.go
+++ b/internal/tool/local/local_test.go
@@ -52,6 +52,26 @@
 	return d
 }
 
+// page is a job of one short task.
+func page(deadline time.Duration) winch.Job {
+	return winch.Job{Class: "render", Deadline: deadline, Tasks: []winch.Task{{Body: map[string]any{"job": "page", "task": 0, "run": "5ms"}}}}
+}
+
+// restarted kills a deployment's n-th VM and starts it again while the platform's list answers slowly.
+func restarted(t *testing.T, d *Deployment, n int, slow time.Duration) *VM {
+	t.Helper()
+	old := d.VMs[n]
+	old.Kill()
+	<-old.Done()
+	d.List.Slow(slow)
+	t.Cleanup(func() { d.List.Slow(0) })
+	v, err := d.Boot(old.Settings.Mesh, old.Settings.Domain)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return v
+}
+
 // Symptom: the first job after a document was put in force is refused, "no endpoint is known", on a
 // busy machine. Sequence: the document is in force on a VM that has not read the platform's list yet.
 // Cause: whoever declares is told that the deployment is ready by the document alone.
@@ -59,7 +79,7 @@
 	is := is.New(t)
 	d := upWith(t, judge.New(), func(s *Shape) { s.Domains, s.VMs, s.Slow = 1, 1, time.Second })
 	c := winch.NewClient(d.VMs[0].Settings.Caller, "demo-crew")
-	a, err := c.Submit(t.Context(), winch.Job{Class: "render", Deadline: 5 * time.Second, Tasks: []winch.Task{{Body: map[string]any{"job": "page", "task": 0, "run": "5ms"}}}})
+	a, err := c.Submit(t.Context(), page(5*time.Second))
 	is.NoErr(err)
 	is.Equal(a.Detail, "")
 	is.Equal(a.Outcome, winch.Done)
@@ -72,19 +92,13 @@
 func TestVMWithoutTheListHandsOver(t *testing.T) {
 	is := is.New(t)
 	d := upWith(t, judge.New(), func(s *Shape) { s.Domains, s.VMs = 1, 2 })
-	old := d.VMs[1]
-	old.Kill()
-	<-old.Done()
-	d.List.Slow(5 * time.Second)
-	defer d.List.Slow(0)
-	v, err := d.Boot(old.Settings.Mesh, old.Settings.Domain)
-	is.NoErr(err)
+	v := restarted(t, d, 1, 5*time.Second)
 	for !hears(v, 1) || !inForce(v) {
 		time.Sleep(10 * time.Millisecond)
 	}
 	is.Equal(v.Daemon.Node().Stats().Known, 0)
 	c := winch.NewClient(v.Settings.Caller, "demo-crew")
-	a, err := c.Submit(t.Context(), winch.Job{Class: "render", Deadline: 3 * time.Second, Tasks: []winch.Task{{Body: map[string]any{"job": "page", "task": 0, "run": "5ms"}}}})
+	a, err := c.Submit(t.Context(), page(3*time.Second))
 	is.NoErr(err)
 	is.Equal(a.Detail, "")
 	is.Equal(a.Outcome, winch.Done)
@@ -94,19 +108,13 @@
 func TestAloneWithoutTheListAVMSaysWhenToReturn(t *testing.T) {
 	is := is.New(t)
 	d := upWith(t, judge.New(), func(s *Shape) { s.Domains, s.VMs = 1, 1 })
-	old := d.VMs[0]
-	old.Kill()
-	<-old.Done()
-	d.List.Slow(2 * time.Second)
-	defer d.List.Slow(0)
-	v, err := d.Boot(old.Settings.Mesh, old.Settings.Domain)
-	is.NoErr(err)
+	v := restarted(t, d, 0, 2*time.Second)
 	for !inForce(v) {
 		time.Sleep(10 * time.Millisecond)
 	}
 	c := winch.NewClient(v.Settings.Caller, "demo-crew")
 	began := time.Now()
-	a, err := c.Submit(t.Context(), winch.Job{Class: "render", Deadline: 3 * time.Second, Tasks: []winch.Task{{Body: map[string]any{"job": "page", "task": 0, "run": "5ms"}}}})
+	a, err := c.Submit(t.Context(), page(3*time.Second))
 	is.NoErr(err)
 	is.Equal(a.Outcome, winch.Refused)
 	is.True(time.Since(began) < time.Second) // at once
