--- a/internal/mesh/view/alone.go
+++ b/internal/mesh/view/alone.go
@@ -22,7 +22,7 @@
 	last := time.Time{}
 	for _, m := range members {
 		if m.State == Alive || m.State == Suspect || m.State == Gone {
-			if now.Sub(m.Heard) < suspectAfter {
+			if now.Sub(m.Heard) < goneAfter {
 				return false
 			}
 			if m.Heard.After(last) {
