--- a/internal/tool/grid/found_test.go
+++ b/internal/tool/grid/found_test.go
@@ -43,7 +43,7 @@
 // over what the VM itself owned is right: nobody can hand it a job.
 func TestVMThatHearsNobodyTakesNothing(t *testing.T) {
 	const cut = 10 * time.Second
-	unheard(t, cut, func(g *Grid, v *VM) {
+	unheard(t, cut, func(_ *Grid, v *VM) {
 		v.alone.Store(true)
 		time.Sleep(cut)
 		v.alone.Store(false)
