--- a/internal/plat/feed/narrow_test.go
+++ b/internal/plat/feed/narrow_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -46,10 +47,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		src := narrow{fakes.NewTopic[int](), 250_000, 600 * time.Millisecond}
-		seen := 0
+		var seen atomic.Int64
 		f := feed.Follower[int]{
 			Name: "test", Source: src, Pace: feed.Pace{Pause: 400 * time.Millisecond, Most: feed.Portion}, Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
-			Heard: func() {}, Apply: func(us []feed.Update[int], _ bool) { seen += len(us) },
+			Heard: func() {}, Apply: func(us []feed.Update[int], _ bool) { seen.Add(int64(len(us))) },
 		}
 		ctx, cancel := context.WithCancel(t.Context())
 		var wg sync.WaitGroup
@@ -61,8 +62,8 @@
 		src.Down(false)
 		time.Sleep(4 * time.Second)
 		synctest.Wait()
-		t.Logf("%d of 840 records seen", seen)
-		is.True(seen >= 750) // all but those of the last second
+		t.Logf("%d of 840 records seen", seen.Load())
+		is.True(seen.Load() >= 750) // all but those of the last second
 		cancel()
 		wg.Wait()
 	})
@@ -83,10 +84,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		src := &stuck{Topic: fakes.NewTopic[int]()}
-		seen := 0
+		var seen atomic.Int64
 		f := feed.Follower[int]{
 			Name: "test", Source: src, Pace: feed.Pace{Pause: 100 * time.Millisecond, Most: 1}, Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
-			Heard: func() {}, Apply: func(us []feed.Update[int], _ bool) { seen += len(us) },
+			Heard: func() {}, Apply: func(us []feed.Update[int], _ bool) { seen.Add(int64(len(us))) },
 		}
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan struct{})
@@ -96,7 +97,7 @@
 		src.Put("k", 2)
 		time.Sleep(time.Second)
 		synctest.Wait()
-		is.Equal(seen, 2)
+		is.Equal(seen.Load(), int64(2))
 		cancel()
 		<-done
 	})
