Logs and a histogram of how long runs outlive the last word of their caller's VM

What was missing to tell the hypotheses of docs/incidents/ran-twice.md apart: when the caller's VM last spoke by its own clock, how long its word that a job is not wanted was under way, and when the last run of an ended job ended.

'job ended' has 'runs' and 'word', 'job not wanted' and 'runs over' are new, dahliawinch_outlived_seconds is the histogram. No decision changes. OPERATIONS.md tells how to read them. go test ./internal/task/owner -run Outlived.

--- a/internal/base/meter/meter.go
+++ b/internal/base/meter/meter.go
@@ -55,6 +55,7 @@
 	wait     *prometheus.HistogramVec
 	run      *prometheus.HistogramVec
 	ratio    *prometheus.HistogramVec
+	outlived prometheus.Histogram
 	outcomes *prometheus.CounterVec
 	control  *prometheus.CounterVec
 }
@@ -74,9 +75,13 @@
 	m.wait = hist("wait_seconds", "From submission to the start of a task.", times)
 	m.run = hist("run_seconds", "From a task's send to its answer.", times)
 	m.ratio = hist("ratio", "Response over the longest run of the job's tasks.", prometheus.ExponentialBuckets(1, 1.15, 24))
+	m.outlived = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Name: "dahliawinch_outlived_seconds", Help: "From the last word of a job's VM to the end of its last run, of jobs that ended before their runs.",
+		Buckets: prometheus.LinearBuckets(0.1, 0.1, 20),
+	})
 	m.outcomes = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "dahliawinch_jobs_total", Help: "Answered jobs."}, []string{"tenant", "class", "outcome", "reason"})
 	m.control = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "dahliawinch_control_bytes_total", Help: "Bytes between entry VMs by purpose."}, []string{"purpose", "way"})
-	m.Registry.MustRegister(m.outcomes, m.control)
+	m.Registry.MustRegister(m.outcomes, m.control, m.outlived)
 	for _, c := range Causes() {
 		m.Registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
 			Name: "dahliawinch_wasted_total", Help: "Messages that did no work.", ConstLabels: prometheus.Labels{"cause": c.String()},
@@ -100,6 +105,9 @@
 // Starts returns the attempts sent.
 func (m *Meter) Starts() int64 { return m.starts.Load() }
 
+// Outlived records how long after the last word of its VM the last run of a job ended.
+func (m *Meter) Outlived(d time.Duration) { m.outlived.Observe(d.Seconds()) }
+
 // Control counts bytes between entry VMs.
 func (m *Meter) Control(purpose, way string, n int) {
 	m.control.WithLabelValues(purpose, way).Add(float64(n))
--- a/internal/edge/serve/beat.go
+++ b/internal/edge/serve/beat.go
@@ -226,10 +226,7 @@
 // take takes in a job that another VM hands over.
 func (d *Node) take(now time.Time, from frame.Hello, m *frame.Hand) {
 	key := owner.Key{VM: from.VM, Inc: from.Inc, Call: m.Call}
-	age := time.Duration(0)
-	if p := d.view.Find(from.VM); p != nil && p.State != view.Listed {
-		age = p.Age(now, m.At)
-	}
+	age := d.age(now, from.VM, m.At)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if age > handFor {
@@ -241,6 +238,24 @@
 	d.perform()
 }
 
+// age is how long ago another VM stamped a message; 0 while none of its heartbeats was read.
+func (d *Node) age(now time.Time, vm netip.AddrPort, stamp time.Time) time.Duration {
+	p := d.view.Find(vm)
+	if p == nil || p.State == view.Listed {
+		return 0
+	}
+	return p.Age(now, stamp)
+}
+
+// word is when the last heartbeat was sent that was read of a VM, by this VM's clock.
+func (d *Node) word(vm netip.AddrPort) time.Time {
+	p := d.view.Find(vm)
+	if p == nil || p.State == view.Listed {
+		return time.Time{}
+	}
+	return p.Heard.Add(-p.Late)
+}
+
 // heed takes in which tasks another owner suspects.
 func (d *Node) heed(now time.Time, all []frame.Suspect) {
 	d.mu.Lock()
@@ -273,6 +288,7 @@
 	case *frame.Hand:
 		d.take(now, from, m)
 	case *frame.Drop:
+		d.log.Info("job not wanted", "by", from.VM, "call", m.Call, "age", d.age(now, from.VM, m.At).Round(time.Millisecond))
 		d.mu.Lock()
 		d.book.Cancel(now, owner.Key{VM: from.VM, Inc: from.Inc, Call: m.Call}, "its caller left")
 		d.perform()
--- a/internal/edge/serve/node.go
+++ b/internal/edge/serve/node.go
@@ -144,7 +144,7 @@
 		pace: pace.New(orderLeast, orderMost), unowned: true,
 		view: view.New(cfg.VM, cfg.Domain, now), claims: claim.New(cfg.VM, cfg.Domain, cfg.Power, now),
 	}
-	d.book = owner.New(owner.Config{Limits: cfg.Limits, Far: cfg.Far, Log: parts.Log, Orders: d.pace.Expect})
+	d.book = owner.New(owner.Config{Limits: cfg.Limits, Far: cfg.Far, Log: parts.Log, Orders: d.pace.Expect, Word: d.word, Outlived: parts.Meter.Outlived})
 	d.ctx, d.cancel = context.WithCancel(ctx)
 	d.view.Links(farLinks)
 	d.relay()
--- a/internal/edge/serve/submit.go
+++ b/internal/edge/serve/submit.go
@@ -255,7 +255,7 @@
 		return
 	}
 	if c.to.IsValid() {
-		if err := d.parts.Mesh.Cast(c.to, &frame.Drop{Call: c.n}); err != nil {
+		if err := d.parts.Mesh.Cast(c.to, &frame.Drop{At: d.now(), Call: c.n}); err != nil {
 			d.log.Info("owner not told", "job", c.job.ID, "owner", c.to, "err", err) // it stops the job by its deadline or our silence
 		}
 	}
--- a/internal/mesh/frame/msg.go
+++ b/internal/mesh/frame/msg.go
@@ -214,7 +214,8 @@
 
 // Drop takes a Hand back: its caller left, or its time is over.
 type Drop struct {
-	Call uint64 `msgpack:"c"`
+	At   time.Time `msgpack:"a"` // the sender's clock
+	Call uint64    `msgpack:"c"`
 }
 
 // Load tells how busy a VM's leased endpoints are; it overtakes heartbeats.
--- a/internal/task/owner/job.go
+++ b/internal/task/owner/job.go
@@ -34,6 +34,8 @@
 	starts  int
 	slowest time.Duration
 	slowAt  string
+	word    time.Time // when the VM that answers the caller last spoke
+	ended   time.Time // when the job got its answer
 }
 
 type step struct {
