A run outlives the last word of its caller's VM by a bounded time

Cause: an owner's right to go on with a job rested on the absence of news. It ended jobs 0.9 s after the last heartbeat that it had read, however old that was, or when told that they are not wanted, behind all else on that link. What lets the caller submit again runs on the caller's clock, 1.3 s after it lost its VM or heard 'unknown'. And if a stop was not confirmed, the owner went on renewing the endpoint's lease for the other runs there.

Change: the VM that answers the caller says each 0.15 s which of its jobs it waits for (Keep; Hand to begin with). The time is told by the owner's clock, never later than it was. A word is good for a time that follows from the new setting 'resend' (the platform's resend_ms, 1.3 s if a deployment names none; it was a constant in comments). Tasks start on a fresh word only, a job ends 0.3 s before its word runs out, and no lease is asked for beyond the word of any run on the endpoint, so that the bound holds if no stop is ever confirmed. Heartbeats, silence and Drop keep their other uses; no rule depends on them.

Why it holds: lease.Limits has the sum (rapid over settings), an endpoint's lease ends before any run must (rapid), a time in another VM's clock is never ahead (rapid, clocks 900 ppm apart). TestJobThatCameTooLateGoesToAnotherOwner lets its owners be heard first: a job is handed only to a VM whose clock is known; its checks are unchanged.

Lease asked for: 0.726 s instead of 0.9.

--- a/internal/edge/hangup/hangup.go
+++ b/internal/edge/hangup/hangup.go
@@ -16,6 +16,8 @@
 	patient = 50 * time.Millisecond
 	// lookEvery is the time between two looks.
 	lookEvery = 100 * time.Millisecond
+	// Notice is how long after a caller has left its leaving is noticed.
+	Notice = lookEvery + 30*time.Millisecond
 )
 
 // Watch calls fn when the caller closes its connection while its request is
--- a/internal/edge/serve/beat.go
+++ b/internal/edge/serve/beat.go
@@ -12,9 +12,6 @@
 )
 
 const (
-	// doubtAfter is the silence of a VM after which its jobs here are stopped. A caller
-	// whose connection broke submits again 1.3 s later: nothing may run by then.
-	doubtAfter = 900 * time.Millisecond
 	// lostAfter is the silence of an owner after which jobs given to it are answered.
 	lostAfter = 700 * time.Millisecond
 )
@@ -106,15 +103,11 @@
 // silences ends what depended on VMs that are not heard.
 func (d *Node) silences(now time.Time) {
 	for _, m := range d.view.Members() {
-		quiet := now.Sub(m.Heard)
-		if m.State == view.Listed || quiet < lostAfter {
+		if m.State == view.Listed || now.Sub(m.Heard) < lostAfter {
 			continue
 		}
 		d.table.Forget(m.VM)
 		d.loseOwner(now, m.VM, 0, "the owner is silent")
-		if quiet >= doubtAfter {
-			d.book.CancelOf(now, func(k owner.Key) bool { return k.VM == m.VM }, "its VM is silent")
-		}
 	}
 }
 
@@ -218,19 +211,15 @@
 	return owner.Load{Free: float64(m.Free), Total: float64(m.Total), Ahead: [3]float64{float64(m.Ahead[0]), float64(m.Ahead[1]), float64(m.Ahead[2])}, Lag: m.Lag}
 }
 
-// handFor is how old a Hand may be. One that waited longer was read by a VM that had been
-// paused, or came over a link that was cut: the VM that sent it takes this owner for lost
-// after 0.7 s, and its caller submits the job again elsewhere.
-const handFor = 400 * time.Millisecond
-
-// take takes in a job that another VM hands over.
+// take takes in a job that another VM hands over. One that was under way for too long came over a link that was cut, or
+// this VM was paused: the one that sent it takes this one for lost, and its caller submits the job again elsewhere.
 func (d *Node) take(now time.Time, from frame.Hello, m *frame.Hand) {
 	key := owner.Key{VM: from.VM, Inc: from.Inc, Call: m.Call}
-	age := d.age(now, from.VM, m.At)
+	age := now.Sub(m.Job.Asked)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if age > handFor {
-		d.log.Info("job came too late", "job", m.Job.ID, "by", from.VM, "age", age)
+	if m.To != d.cfg.Inc || age > d.cfg.Limits.Fresh() {
+		d.log.Info("job came too late", "job", m.Job.ID, "by", from.VM, "age", age, "to", m.To)
 		d.answer(&owner.Tell{Key: key, Answer: *job.Refuse(job.Silent, 0, "it came %s after it was sent", age)})
 		return
 	}
@@ -247,15 +236,6 @@
 	return p.Age(now, stamp)
 }
 
-// word is when the last heartbeat was sent that was read of a VM, by this VM's clock.
-func (d *Node) word(vm netip.AddrPort) time.Time {
-	p := d.view.Find(vm)
-	if p == nil || p.State == view.Listed {
-		return time.Time{}
-	}
-	return p.Heard.Add(-p.Late)
-}
-
 // heed takes in which tasks another owner suspects.
 func (d *Node) heed(now time.Time, all []frame.Suspect) {
 	d.mu.Lock()
@@ -287,6 +267,8 @@
 		d.mu.Unlock()
 	case *frame.Hand:
 		d.take(now, from, m)
+	case *frame.Keep:
+		d.kept(now, from, m)
 	case *frame.Drop:
 		d.log.Info("job not wanted", "by", from.VM, "call", m.Call, "age", d.age(now, from.VM, m.At).Round(time.Millisecond))
 		d.mu.Lock()
--- a/internal/edge/serve/daemon.go
+++ b/internal/edge/serve/daemon.go
@@ -13,6 +13,7 @@
 
 	"dahliawinch/internal/base/meter"
 	"dahliawinch/internal/base/timer"
+	"dahliawinch/internal/edge/hangup"
 	"dahliawinch/internal/mesh/frame"
 	"dahliawinch/internal/mesh/link"
 	"dahliawinch/internal/task/lease"
@@ -54,7 +55,7 @@
 	}
 	cfg := Config{
 		VM: set.Mesh, Domain: set.Domain, Inc: uint64(time.Now().UnixNano()), Seeds: seeds, Far: set.Far, Power: set.Cores, Link: set.linkBytes(),
-		Limits: lease.Limits{Hold: set.Hold.Std(), Stop: set.Stop.Std()},
+		Limits: lease.Limits{Hold: set.Hold.Std(), Stop: set.Stop.Std(), Resend: set.Resend.Std(), Notice: hangup.Notice},
 	}
 	hello := frame.Hello{VM: cfg.VM, Inc: cfg.Inc, Domain: cfg.Domain}
 	receive := func(from frame.Hello, m frame.Msg) { d.node.Receive(from, m) }
@@ -112,7 +113,8 @@
 		g.Go(func() error { return unlessEnded(gctx, f.s.Serve(f.l)) })
 	}
 	d.node.Start()
-	d.log.Info("serving", "name", d.set.Name, "vm", d.set.Mesh, "domain", d.set.Domain, "inc", d.node.cfg.Inc, "callers", d.set.Caller, "store", d.set.Store)
+	d.log.Info("serving", "name", d.set.Name, "vm", d.set.Mesh, "domain", d.set.Domain, "inc", d.node.cfg.Inc, "callers", d.set.Caller, "store", d.set.Store,
+		"resend", d.set.Resend.Std(), "outlive", d.node.cfg.Limits.Outlive(), "doubt", d.node.cfg.Limits.Doubt(), "fresh", d.node.cfg.Limits.Fresh(), "lease", d.node.cfg.Limits.Lease())
 	g.Go(func() error {
 		select {
 		case <-leave.Done():
--- /dev/null
+++ b/internal/edge/serve/keep.go
@@ -0,0 +1,66 @@
+package serve
+
+import (
+	"net/netip"
+	"time"
+
+	"dahliawinch/internal/mesh/frame"
+	"dahliawinch/internal/mesh/view"
+	"dahliawinch/internal/task/owner"
+)
+
+// keep tells other owners which of their jobs this VM still waits for. What an owner runs for this VM ends a bounded
+// time after the last such word was sent, so neither a message that comes late nor one that is lost prolongs a run.
+func (d *Node) keep() {
+	for vm, m := range d.wanted(d.now()) {
+		d.parts.Mesh.Spread([]netip.AddrPort{vm}, m)
+	}
+}
+
+// wanted lists the jobs at other owners that were not handed over just now.
+func (d *Node) wanted(now time.Time) map[netip.AddrPort]*frame.Keep {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	all := map[netip.AddrPort]*frame.Keep{}
+	for n, c := range d.calls {
+		if !c.to.IsValid() || c.to == d.cfg.VM || now.Sub(c.handed) < d.cfg.Limits.Tell()/2 {
+			continue
+		}
+		m := all[c.to]
+		if m == nil {
+			p := d.heardOf(c.to)
+			if p == nil {
+				continue
+			}
+			m = &frame.Keep{To: p.Inc, Asked: p.Theirs(now)}
+			all[c.to] = m
+		}
+		m.Calls = append(m.Calls, n)
+	}
+	return all
+}
+
+// heardOf returns a VM whose heartbeats come, nil for any other: what its clock shows is not known.
+func (d *Node) heardOf(vm netip.AddrPort) *view.Member {
+	if p := d.view.Find(vm); p != nil && p.State != view.Listed {
+		return p
+	}
+	return nil
+}
+
+// kept takes in which jobs another VM still waits for.
+func (d *Node) kept(now time.Time, from frame.Hello, m *frame.Keep) {
+	if m.To != d.cfg.Inc {
+		return
+	}
+	asked := m.Asked
+	if asked.After(now) {
+		asked = now
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, n := range m.Calls {
+		d.book.Keep(now, owner.Key{VM: from.VM, Inc: from.Inc, Call: n}, asked)
+	}
+	d.perform()
+}
--- a/internal/edge/serve/node.go
+++ b/internal/edge/serve/node.go
@@ -144,7 +144,7 @@
 		pace: pace.New(orderLeast, orderMost), unowned: true,
 		view: view.New(cfg.VM, cfg.Domain, now), claims: claim.New(cfg.VM, cfg.Domain, cfg.Power, now),
 	}
-	d.book = owner.New(owner.Config{Limits: cfg.Limits, Far: cfg.Far, Log: parts.Log, Orders: d.pace.Expect, Word: d.word, Outlived: parts.Meter.Outlived})
+	d.book = owner.New(owner.Config{Limits: cfg.Limits, Far: cfg.Far, Log: parts.Log, Orders: d.pace.Expect, Outlived: parts.Meter.Outlived})
 	d.ctx, d.cancel = context.WithCancel(ctx)
 	d.view.Links(farLinks)
 	d.relay()
@@ -166,6 +166,7 @@
 	t.Every(d.ctx, view.Period, d.beat)
 	t.Every(d.ctx, tickEvery, d.tick)
 	t.Every(d.ctx, loadEvery, d.tell)
+	t.Every(d.ctx, d.cfg.Limits.Tell(), d.keep)
 }
 
 // Close ends the node at once; Drain before it cuts nothing.
--- a/internal/edge/serve/order_test.go
+++ b/internal/edge/serve/order_test.go
@@ -42,7 +42,7 @@
 // owning is a node that owns one endpoint and has a job whose only task is to start there.
 func owning(t *testing.T, a agent.Agent) (n *Node, s owner.Start) {
 	at := netip.MustParseAddrPort("127.0.0.1:1")
-	n = NewNode(t.Context(), Config{VM: at, Domain: "a", Limits: lease.Limits{Hold: time.Second, Stop: 50 * time.Millisecond}}, Parts{
+	n = NewNode(t.Context(), Config{VM: at, Domain: "a", Limits: lease.Limits{Hold: time.Second, Stop: 50 * time.Millisecond, Resend: 1300 * time.Millisecond}}, Parts{
 		Platform: Platform{Agent: a}, Timers: timer.New(timer.Wall{}), Clock: timer.Wall{}, Meter: meter.New(),
 		Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
 	})
@@ -137,6 +137,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for i := byte(2); i < 4; i++ {
+		n.view.Hear(now, frame.Hello{VM: at(i), Inc: 1, Domain: "a"}, &frame.Beat{At: now})
 		n.hear(now, at(i), owner.Load{Free: 64, Total: 64}, true, repeatEvery)
 	}
 	c := &call{n: 7, job: &batch.Job{ID: "j", Steps: []batch.Step{{Count: 1}}}, came: now, due: now.Add(time.Minute), done: make(chan struct{})}
--- a/internal/edge/serve/perform.go
+++ b/internal/edge/serve/perform.go
@@ -23,6 +23,8 @@
 	// renewWait is how long a renewal waits for an end. It bounds how long ends go
 	// unnoticed when a renewal or its answer is lost.
 	renewWait = 150 * time.Millisecond
+	// renewShare is how many renewals go into a lease at least.
+	renewShare = 4
 	// lossyWait takes its place for lossyFor after an order got no answer: calls cost
 	// little, and an urgent job of eight tasks is late with one end unnoticed.
 	lossyWait = 30 * time.Millisecond
@@ -212,7 +214,7 @@
 		now := d.now()
 		o := agent.Renew{Fence: ep.Fence, Cursor: ep.Cursor}
 		if ep.Known && !ep.Silent && len(ep.Runs) > 0 {
-			o.Until, o.Wait = ep.Until(now), renewWait
+			o.Until, o.Wait = ep.Until(now), min(renewWait, d.cfg.Limits.Lease()/renewShare)
 			switch {
 			case ep.Missed > 0:
 				o.Wait = 0 // a look at once: it tells a lost answer from a lost endpoint
--- a/internal/edge/serve/settings.go
+++ b/internal/edge/serve/settings.go
@@ -30,6 +30,7 @@
 	Link   float64    `json:"link,omitempty"`  // Mbit/s that its link carries; 0 if it is not known
 	Hold   valid.Span `json:"hold"`            // longest lease that an endpoint grants
 	Stop   valid.Span `json:"stop"`            // longest time a stop takes
+	Resend valid.Span `json:"resend"`          // until a caller submits a job again whose outcome is unknown, at the earliest
 	Grace  valid.Span `json:"grace"`           // from the signal to leave until the end
 	Far    float64    `json:"far"`             // how many times longer a task runs away from its data
 	Level  string     `json:"level"`
@@ -37,7 +38,7 @@
 
 // Defaults are what a settings file need not say.
 func Defaults() Settings {
-	return Settings{Memory: 256, Cores: 1, Hold: valid.Span(time.Second), Stop: valid.Span(50 * time.Millisecond), Grace: valid.Span(6 * time.Second), Far: 2, Level: "info"}
+	return Settings{Memory: 256, Cores: 1, Hold: valid.Span(time.Second), Stop: valid.Span(50 * time.Millisecond), Resend: valid.Span(1300 * time.Millisecond), Grace: valid.Span(6 * time.Second), Far: 2, Level: "info"}
 }
 
 // Read takes a settings file over and checks it.
@@ -75,6 +76,7 @@
 	need(s.Memory >= 32, "memory", s.Memory, "use at least 32 MiB")
 	need(s.Hold.Std() >= 100*time.Millisecond && s.Hold.Std() <= time.Minute, "hold", s.Hold.Std(), "use 100ms to 1m")
 	need(s.Stop.Std() > 0 && s.Stop.Std() <= 10*time.Second, "stop", s.Stop.Std(), "use 1ms to 10s")
+	need(s.Resend.Std() >= leastResend && s.Resend.Std() <= time.Minute, "resend", s.Resend.Std(), "use 400ms to 1m")
 	need(s.Grace.Std() > 0 && s.Grace.Std() <= time.Hour, "grace", s.Grace.Std(), "use 1s to 1h")
 	need(s.Far >= 1, "far", s.Far, "use 1 or more")
 	_, err := s.peers()
@@ -83,6 +85,9 @@
 	return ps
 }
 
+// leastResend leaves time for leases and their renewals.
+const leastResend = 400 * time.Millisecond
+
 // peers are the seeds' mesh addresses: all VMs use the same ports.
 func (s *Settings) peers() (vms []netip.AddrPort, err error) {
 	for _, text := range strings.FieldsFunc(s.Seeds, func(r rune) bool { return r == ',' }) {
--- a/internal/edge/serve/start_test.go
+++ b/internal/edge/serve/start_test.go
@@ -21,7 +21,7 @@
 func started(t *testing.T) *Node {
 	t.Helper()
 	at := netip.MustParseAddrPort("127.0.0.1:1")
-	return NewNode(t.Context(), Config{VM: at, Domain: "a", Limits: lease.Limits{Hold: time.Second, Stop: 50 * time.Millisecond}}, Parts{
+	return NewNode(t.Context(), Config{VM: at, Domain: "a", Limits: lease.Limits{Hold: time.Second, Stop: 50 * time.Millisecond, Resend: 1300 * time.Millisecond}}, Parts{
 		Timers: timer.New(timer.Wall{}), Clock: timer.Wall{}, Meter: meter.New(), Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
 	})
 }
--- a/internal/edge/serve/submit.go
+++ b/internal/edge/serve/submit.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
@@ -42,6 +43,7 @@
 	// timeout is the queue's, if the caller says how long it waits.
 	timeout time.Duration
 	to      netip.AddrPort // the owner that has it
+	handed  time.Time      // when it got it
 	tried   []netip.AddrPort
 	done    chan struct{}
 	ended   bool
@@ -139,7 +141,7 @@
 		if !vm.IsValid() {
 			break
 		}
-		if vm != d.cfg.VM && d.strained && d.delay >= handFor {
+		if vm != d.cfg.VM && d.strained && d.delay >= d.cfg.Limits.Fresh() {
 			d.end(c, job.Answer{Outcome: job.Refused, Reason: job.Silent, Retry: spread(leastRetry), Detail: fmt.Sprintf("this VM's messages come %s late", d.delay)})
 			return
 		}
@@ -151,7 +153,7 @@
 			d.book.Submit(now, owner.Key{VM: vm, Inc: d.cfg.Inc, Call: c.n}, &j)
 			return
 		}
-		if err := d.parts.Mesh.Cast(vm, &frame.Hand{At: now, Call: c.n, Job: j}); err != nil {
+		if err := d.hand(now, vm, c, &j); err != nil {
 			d.log.Info("owner unreachable", "job", c.job.ID, "owner", vm, "err", err)
 			d.table.Down(vm, now)
 			continue
@@ -172,6 +174,22 @@
 	d.end(c, a)
 }
 
+// errUnheard is returned for an owner none of whose heartbeats was read.
+var errUnheard = errors.New("not heard yet")
+
+// hand gives a job to another owner; the caller holds the lock.
+func (d *Node) hand(now time.Time, vm netip.AddrPort, c *call, j *batch.Job) error {
+	p := d.heardOf(vm)
+	if p == nil {
+		return fmt.Errorf("hand over to %s: %w", vm, errUnheard)
+	}
+	j.Asked, c.handed = p.Theirs(now), now
+	if err := d.parts.Mesh.Cast(vm, &frame.Hand{To: p.Inc, Call: c.n, Job: *j}); err != nil {
+		return fmt.Errorf("hand over: %w", err)
+	}
+	return nil
+}
+
 // missing reports whether owners may yet come up: this VM has just started, and some groups
 // have no owner, or an owner has not told its load yet. Once all have, a job that they
 // refuse must not wait for more; the caller holds the lock.
--- a/internal/mesh/frame/msg.go
+++ b/internal/mesh/frame/msg.go
@@ -36,6 +36,7 @@
 	kindListed
 	kindAsk
 	kindSeen
+	kindKeep
 	kindPacked // another message, compressed; see Pack
 	kinds
 )
@@ -200,11 +201,18 @@
 
 // Hand gives a job to the owner of leased endpoints.
 type Hand struct {
-	At   time.Time `msgpack:"a"` // the sender's clock; a delayed Hand is not started
+	To   uint64    `msgpack:"a"` // the receiver's incarnation, whose clock Job.Asked goes by
 	Call uint64    `msgpack:"c"`
 	Job  batch.Job `msgpack:"j"`
 }
 
+// Keep says which Hands the sender still waits for. What is in none for a while is not wanted.
+type Keep struct {
+	To    uint64    `msgpack:"a"` // the receiver's incarnation
+	Asked time.Time `msgpack:"t"` // when it was sent, at the earliest, by the receiver's clock
+	Calls []uint64  `msgpack:"c"`
+}
+
 // Told answers a Hand.
 type Told struct {
 	Call   uint64     `msgpack:"c"`
@@ -272,6 +280,7 @@
 func (*Listed) kind() kind  { return kindListed }
 func (*Ask) kind() kind     { return kindAsk }
 func (*Seen) kind() kind    { return kindSeen }
+func (*Keep) kind() kind    { return kindKeep }
 
 // makers builds an empty message of each kind.
 var makers = [kinds]func() Msg{
@@ -292,6 +301,7 @@
 	kindListed:  func() Msg { return &Listed{} },
 	kindAsk:     func() Msg { return &Ask{} },
 	kindSeen:    func() Msg { return &Seen{} },
+	kindKeep:    func() Msg { return &Keep{} },
 }
 
 // Purpose names the part of the control cost that a message belongs to.
@@ -301,14 +311,14 @@
 	kindHello: "link", kindBeat: "beat", kindGive: "forward", kindTook: "forward", kindBack: "forward",
 	kindSubmit: "handoff", kindReply: "handoff", kindHave: "document", kindWant: "document",
 	kindHand: "forward", kindTold: "forward", kindDrop: "forward", kindLoad: "load",
-	kindPlanned: "document", kindListed: "endpoints", kindAsk: "endpoints", kindSeen: "link",
+	kindPlanned: "document", kindListed: "endpoints", kindAsk: "endpoints", kindSeen: "link", kindKeep: "forward",
 }
 
 // Reliable reports whether a message must arrive: it is kept until the peer has
 // read it. The others are overtaken by the next of their kind.
 func Reliable(m Msg) bool {
 	switch m.(type) {
-	case *Hello, *Beat, *Want, *Load, *Planned, *Listed, *Ask, *Seen:
+	case *Hello, *Beat, *Want, *Load, *Planned, *Listed, *Ask, *Seen, *Keep:
 		return false
 	default:
 		return true
--- /dev/null
+++ b/internal/mesh/view/clock_test.go
@@ -0,0 +1,37 @@
+package view
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"dahliawinch/internal/mesh/frame"
+)
+
+// rounding is what the test's own clocks lose to whole nanoseconds.
+const rounding = time.Microsecond
+
+// Guards against a word that counts as newer than it is: a time is never told later than it was by the other's clock.
+func TestTheirClockIsNeverAheadOfTheTruth(t *testing.T) {
+	vm := netip.MustParseAddrPort("10.0.0.2:1")
+	rapid.Check(t, func(t *rapid.T) {
+		ours := time.Unix(1_700_000_000, 0)
+		theirs := ours.Add(time.Duration(rapid.Int64Range(-1e12, 1e12).Draw(t, "apart")))
+		rate := 1 + rapid.Float64Range(-0.0009, 0.0009).Draw(t, "rate") // of their clock
+		v := New(netip.MustParseAddrPort("10.0.0.1:1"), "a", ours)
+		pass := func(d time.Duration) {
+			ours, theirs = ours.Add(d), theirs.Add(time.Duration(float64(d)*rate))
+		}
+		for range 30 {
+			at := theirs
+			pass(time.Duration(rapid.Int64Range(0, 3e9).Draw(t, "under way")))
+			v.Hear(ours, frame.Hello{VM: vm, Inc: 1, Domain: "b"}, &frame.Beat{At: at})
+			pass(time.Duration(rapid.Int64Range(0, 5e9).Draw(t, "pause")))
+			if told := v.Find(vm).Theirs(ours); told.After(theirs.Add(rounding)) {
+				t.Fatalf("%s ahead", told.Sub(theirs))
+			}
+		}
+	})
+}
--- a/internal/mesh/view/member.go
+++ b/internal/mesh/view/member.go
@@ -47,6 +47,17 @@
 // the clocks are apart at most, and what is beyond that is delay.
 func (m *Member) Age(now, stamp time.Time) time.Duration { return now.Sub(stamp) - m.Skew }
 
+// Theirs is what the member's clock showed at a time of this VM's, at the earliest.
+//
+// A heartbeat that was read when this clock was ahead of its stamp by Skew had been sent before, so Skew is at
+// least what the two clocks are apart. Clocks that drift are allowed for.
+func (m *Member) Theirs(now time.Time) time.Time {
+	return now.Add(-m.Skew - drifts(now.Sub(m.Heard)))
+}
+
+// drifts is how far two clocks drift apart at most in a time.
+func drifts(d time.Duration) time.Duration { return time.Duration(d.Seconds() * float64(skewDrift)) }
+
 // keeps reports whether the member counts as a home of slots.
 func (m *Member) keeps(now time.Time) bool {
 	switch m.State {
--- a/internal/mesh/view/view.go
+++ b/internal/mesh/view/view.go
@@ -34,8 +34,8 @@
 	goneAfter = 10 * Period
 	// aloneAfter is the silence after which it is gone without any witness.
 	aloneAfter = 30 * Period
-	// skewDrift lets the least skew follow clocks that drift, per beat.
-	skewDrift = 100 * time.Microsecond
+	// skewDrift is how far two VMs' clocks may drift apart in a second.
+	skewDrift = time.Millisecond
 )
 
 // Change is something that the other parts must act on.
@@ -182,7 +182,7 @@
 	m := &Member{VM: from.VM, Domain: from.Domain, Inc: from.Inc, State: Alive, Picked: was.Picked || from.Domain == v.domain, Heard: now, Beat: *b}
 	m.Skew = now.Sub(b.At)
 	if was.Inc == m.Inc {
-		m.Skew = min(m.Skew, was.Skew+skewDrift)
+		m.Skew = min(m.Skew, was.Skew+drifts(now.Sub(was.Heard)))
 	}
 	m.Late = m.Age(now, b.At)
 	if b.Leaving {
--- a/internal/task/batch/batch.go
+++ b/internal/task/batch/batch.go
@@ -33,7 +33,10 @@
 	Left     time.Duration `msgpack:"l"` // until the answer is of no use
 	Age      time.Duration `msgpack:"g,omitempty"`
 	Waited   time.Duration `msgpack:"w,omitempty"` // elsewhere, before it came to us
-	Steps    []Step        `msgpack:"t"`
+	// Asked is when the VM that answers the caller asked for the job, at the earliest, by the clock of the VM
+	// that runs it; zero at the VM itself.
+	Asked time.Time `msgpack:"z,omitempty"`
+	Steps []Step    `msgpack:"t"`
 }
 
 // Step is a number of like tasks that start together once the steps before it are done.
--- a/internal/task/lease/lease.go
+++ b/internal/task/lease/lease.go
@@ -17,22 +17,6 @@
 	"dahliawinch/internal/task/job"
 )
 
-// Limits are the endpoints' own; settings give them.
-type Limits struct {
-	Hold time.Duration // longest lease that an endpoint grants
-	Stop time.Duration // longest time that a stop takes
-}
-
-const (
-	// part of the longest lease that is asked for: a renewal takes a few milliseconds,
-	// and an order that is carried out late finds its lease in the past sooner.
-	part = 0.9
-	// drift is how slow an endpoint's clock may be.
-	drift = 0.02
-	// grace is added before a lease is taken to have run out: timers fire late.
-	grace = 30 * time.Millisecond
-)
-
 // Info is what the platform's list says of an endpoint.
 type Info struct {
 	ID     string // of this life; a restarted endpoint has another
@@ -90,12 +74,18 @@
 	Percent int       // of its work, as last listed
 	Judged  bool      // its speed was taken into its endpoint's health
 	Seen    time.Time // when it was last listed or confirmed
-	Job     any       // whose it is
+	Job     Job       // whose it is
 	Step    int
 
 	stopped time.Time // when a stop was confirmed
 }
 
+// Job is what runs are started for.
+type Job interface {
+	// By is when the job's runs must have ended, by what is known now; it never moves back.
+	By(now time.Time) time.Time
+}
+
 // Listed is a running task in an endpoint's answer.
 type Listed struct {
 	Name    string
@@ -171,14 +161,32 @@
 	return r
 }
 
-// Until returns the lease to ask for, on the endpoint's clock in milliseconds.
+// Until returns the lease to ask for, on the endpoint's clock in milliseconds, or 0 for none: it ends before any
+// run must that is here.
 func (e *Endpoint) Until(now time.Time) int64 {
-	ask := time.Duration(part * float64(e.limits.Hold))
-	e.lapse = timer.Later(e.lapse, now.Add(time.Duration(float64(ask)*(1+drift))+grace))
+	ask := e.ask(now)
+	if ask <= 0 {
+		return 0
+	}
+	e.lapse = timer.Later(e.lapse, now.Add(lasts(ask)))
 	ran := time.Duration(float64(now.Sub(e.at)) * (1 - drift)) // its clock may be slow: never ask for more
 	return e.clock + (ran + ask).Milliseconds()
 }
 
+// ask is the longest lease that ends before any run here must.
+func (e *Endpoint) ask(now time.Time) time.Duration {
+	ask := e.limits.Lease()
+	for _, r := range e.Runs {
+		if r.Job != nil {
+			ask = min(ask, leaseWithin(r.Job.By(now).Sub(now)))
+		}
+	}
+	return ask
+}
+
+// Leasable reports whether a lease that is asked for now would last: not while a run here must end soon.
+func (e *Endpoint) Leasable(now time.Time) bool { return 2*e.ask(now) >= e.limits.Lease() }
+
 // Started takes in the answer to a start; it reports false for a run that was over.
 func (e *Endpoint) Started(now time.Time, r *Run) bool {
 	if r.Stage != Sent {
--- /dev/null
+++ b/internal/task/lease/limits_test.go
@@ -0,0 +1,58 @@
+package lease
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// Guards against runs that go on when their job may be submitted again: the bounds add up for any settings.
+func TestRunsEndBeforeTheirJobComesAgain(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		is := is.New(t)
+		ms := func(name string, least, most int) time.Duration {
+			return time.Duration(rapid.IntRange(least, most).Draw(t, name)) * time.Millisecond
+		}
+		l := Limits{Hold: ms("hold", 100, 60_000), Stop: ms("stop", 1, 100), Resend: ms("resend", 400, 60_000), Notice: 130 * time.Millisecond}
+		slowest := time.Duration(float64(l.Lease())/(1-drift)) + grace // that a lease may last
+		is.True(l.Lease() > 0)
+		is.True(l.Fresh()+slowest <= l.Outlive())
+		is.True(l.Doubt()+l.Stop/2 <= l.Outlive()) // a stop has time
+		is.True(l.Outlive()+l.Notice <= l.Resend)
+		is.True(2*l.Tell() <= l.Fresh()) // one word in two may be lost
+	})
+}
+
+type until time.Time
+
+func (u *until) By(time.Time) time.Time { return time.Time(*u) }
+
+// Guards against a lease that another run's renewal prolongs beyond a run that must end.
+func TestLeaseEndsBeforeAnyRunMust(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := Limits{Hold: time.Second, Resend: 1300 * time.Millisecond}
+		e, now := New(Info{ID: "e"}, 7, l), t0
+		e.Take(now, now, Report{Clock: 1000})
+		var bys []*until
+		for n := range 30 {
+			now = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "pause")) * time.Millisecond)
+			age := time.Duration(rapid.IntRange(0, int(l.Fresh()/time.Millisecond)).Draw(t, "age")) * time.Millisecond
+			by := until(now.Add(l.Outlive() - age))
+			switch i := rapid.IntRange(0, 2).Draw(t, "what"); {
+			case i == 0 && e.Leasable(now):
+				bys = append(bys, &by)
+				e.Start(now, task(n), 1, need).Job = &by
+			case i == 1 && len(bys) > 0 && time.Time(by).After(time.Time(*bys[len(bys)-1])):
+				*bys[len(bys)-1] = by
+			}
+			e.Until(now)
+			for _, b := range bys {
+				if e.Lapse().After(time.Time(*b)) {
+					t.Fatalf("the lease ends %s too late", e.Lapse().Sub(time.Time(*b)))
+				}
+			}
+		}
+	})
+}
--- a/internal/task/owner/book.go
+++ b/internal/task/owner/book.go
@@ -6,7 +6,6 @@
 import (
 	"log/slog"
 	"math"
-	"net/netip"
 	"slices"
 	"sort"
 	"time"
@@ -73,10 +72,8 @@
 	// Orders is how long the last of so many orders takes if they are sent now; nil if they take
 	// next to nothing.
 	Orders func(n int) time.Duration
-	// Word is when the last word of a VM was sent, zero if that is not known; nil without other VMs.
-	Word func(vm netip.AddrPort) time.Time
-	// Outlived is told how long after that word the last run ended of a job that ended before its
-	// runs; may be nil.
+	// Outlived is told how long after the last word of a job's VM the last run ended of a job that ended
+	// before its runs; may be nil.
 	Outlived func(d time.Duration)
 }
 
@@ -162,13 +159,11 @@
 
 // finish gives a job its answer and stops what of it still runs.
 func (b *Book) finish(now time.Time, e *entry, a job.Answer) {
+	e.word = e.asked(now)
 	e.told, e.ended = true, now
-	if b.cfg.Word != nil {
-		e.word = b.cfg.Word(e.key.VM)
-	}
 	b.cfg.Log.Info("job ended", "job", e.ID, "outcome", a.Outcome.String(), "reason", string(a.Reason), "detail", a.Detail,
 		"age", now.Sub(e.came).Round(time.Millisecond), "aim", e.aim.Sub(now).Round(time.Millisecond), "late", e.late, "starts", e.starts,
-		"slowest", e.slowest.Round(time.Millisecond), "endpoint", e.slowAt, "runs", len(e.runs), "word", age(now, e.word))
+		"slowest", e.slowest.Round(time.Millisecond), "endpoint", e.slowAt, "runs", len(e.runs), "word", now.Sub(e.word).Round(time.Millisecond))
 	b.acts.Tells = append(b.acts.Tells, Tell{e.key, a})
 	b.queue = slices.DeleteFunc(b.queue, func(x *entry) bool { return x == e })
 	for r, ep := range e.runs {
@@ -206,20 +201,12 @@
 
 // outlived tells how long the runs of a job went on that ended before them.
 func (b *Book) outlived(now time.Time, e *entry) {
-	b.cfg.Log.Info("runs over", "job", e.ID, "by", e.key.VM, "after", now.Sub(e.ended).Round(time.Millisecond), "word", age(now, e.word))
-	if b.cfg.Outlived != nil && !e.word.IsZero() {
+	b.cfg.Log.Info("runs over", "job", e.ID, "by", e.key.VM, "after", now.Sub(e.ended).Round(time.Millisecond), "word", now.Sub(e.word).Round(time.Millisecond))
+	if b.cfg.Outlived != nil {
 		b.cfg.Outlived(now.Sub(e.word))
 	}
 }
 
-// age of something that happened at a time, for the log; zero if the time is not known.
-func age(now, at time.Time) time.Duration {
-	if at.IsZero() {
-		return 0
-	}
-	return now.Sub(at).Round(time.Millisecond)
-}
-
 // numsFor is how long run numbers of ended jobs are kept at least; callers submit
 // again within a few seconds.
 const numsFor = 20 * time.Second
--- a/internal/task/owner/pump.go
+++ b/internal/task/owner/pump.go
@@ -22,6 +22,9 @@
 func (b *Book) pump(now time.Time) {
 	least := 0.0 // cores that no endpoint had in this round
 	for _, e := range slices.Clone(b.queue) {
+		if !e.fresh(now) {
+			continue
+		}
 		for i := range e.steps {
 			if !e.ready(i) {
 				continue
@@ -140,7 +143,7 @@
 
 func (b *Book) usable(now time.Time, s *site, e *entry, st *batch.Step) bool {
 	switch {
-	case s.lost, !s.Endpoint.Open(), now.Before(s.full), s.giving && !e.begun, !b.admits(now, s, e):
+	case s.lost, !s.Endpoint.Open(), !s.Leasable(now), now.Before(s.full), s.giving && !e.begun, !b.admits(now, s, e):
 		return false
 	case !st.Need.Fits(s.Free()), !fitsLabel(s, st, e.Pool):
 		return false
--- a/internal/task/owner/review.go
+++ b/internal/task/owner/review.go
@@ -19,6 +19,19 @@
 	b.pump(now)
 }
 
+// Keep takes in that the VM that answers a job's caller still waited for it at a time, by this VM's clock.
+func (b *Book) Keep(now time.Time, key Key, asked time.Time) {
+	e := b.jobs[key]
+	if e == nil || e.told || !asked.After(e.word) {
+		return
+	}
+	was := e.fresh(now)
+	e.word = asked
+	if !was && e.fresh(now) {
+		b.pump(now)
+	}
+}
+
 // CancelOf ends all jobs of a VM that was lost or replaced, since nobody waits for
 // them any more and their callers will submit them again elsewhere.
 func (b *Book) CancelOf(now time.Time, gone func(Key) bool, why string) {
@@ -57,6 +70,8 @@
 		for r, ep := range e.runs { // a stop may be lost
 			b.stop(ep, r)
 		}
+	case e.doubted(now):
+		b.finish(now, e, job.Answer{Outcome: e.outcome(), Reason: job.Silent, Detail: "its VM is silent"})
 	case !now.Before(e.due):
 		b.finish(now, e, job.Answer{Outcome: e.outcome(), Reason: job.Deadline, Detail: "its time ran out"})
 	case e.begun && b.stranded(now, e):
--- a/internal/task/owner/take.go
+++ b/internal/task/owner/take.go
@@ -30,7 +30,7 @@
 		b.refuse(now, key, j, job.NoEndpoint, time.Second, b.lacks())
 		return
 	}
-	e := newEntry(now, key, j, b.chain(j))
+	e := newEntry(now, key, j, b.chain(j), b.cfg.Limits)
 	b.note(now, e)
 	wait := b.forecast(now, e)
 	if late := wait - b.patience(e, now); late > 0 && wait > 0 {
--- a/internal/tool/grid/grid.go
+++ b/internal/tool/grid/grid.go
@@ -60,7 +60,7 @@
 }
 
 // Limits of the endpoints.
-var Limits = lease.Limits{Hold: time.Second, Stop: 50 * time.Millisecond}
+var Limits = lease.Limits{Hold: time.Second, Stop: 50 * time.Millisecond, Resend: again, Notice: deadLook}
 
 // Users are the users' deployments: 8 VMs, 48 endpoints of 64 or 96 cores, and three
 // kinds of job that fill 70 % of them at a load of 140 jobs per second.
