The grid's judge sees a run that goes on when its job may come again

Two runs at once need a caller that comes again at the right moment and a task that is placed at once.

--- a/internal/tool/grid/judge.go
+++ b/internal/tool/grid/judge.go
@@ -24,6 +24,8 @@
 	shut   map[string]time.Time // endpoints that may start nothing, from when on
 	guilty map[string]bool      // jobs with a task that crashes endpoints
 	killed map[string]int       // starts of such tasks
+	runs   map[string]time.Time // when each run began that goes on, by task and endpoint
+	freed  map[string][]time.Time
 	broken []string
 	Starts int
 	Stops  int
@@ -34,6 +36,7 @@
 	return &Judge{
 		work: map[string]fakes.Work{}, live: map[string]map[string]int{}, done: map[string]int{},
 		began: map[string]bool{}, told: map[string]job.Answer{}, tasks: map[string]int{}, shut: map[string]time.Time{}, guilty: map[string]bool{}, killed: map[string]int{},
+		runs: map[string]time.Time{}, freed: map[string][]time.Time{},
 	}
 }
 
@@ -76,12 +79,14 @@
 		j.live[task] = map[string]int{}
 	}
 	j.live[task][ep] = num
+	j.runs[task+"@"+ep] = at
 }
 
 // Over implements fakes.Board.
-func (j *Judge) Over(_ time.Time, ep, task string, _ int, how lease.How) {
+func (j *Judge) Over(at time.Time, ep, task string, num int, how lease.How) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
+	j.outlived(at, ep, task, num)
 	delete(j.live[task], ep)
 	switch how {
 	case lease.Done:
@@ -92,6 +97,25 @@
 	}
 }
 
+// Free notes that a job's caller may submit it again after a while from then on.
+func (j *Judge) Free(at time.Time, id string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.freed[id] = append(j.freed[id], at)
+}
+
+// outlived checks a run that has ended against the time at which its job could come again; the caller holds the lock.
+func (j *Judge) outlived(at time.Time, ep, task string, num int) {
+	began := j.runs[task+"@"+ep]
+	delete(j.runs, task+"@"+ep)
+	for _, free := range j.freed[jobOf(task)] {
+		if began.Before(free) && at.After(free.Add(again)) {
+			j.broken = append(j.broken, fmt.Sprintf("outlived: %s run %d on %s ended %s after its job was free to come again", task, num, ep, at.Sub(free)))
+			return
+		}
+	}
+}
+
 // Blame notes that a job has a task that crashes endpoints.
 func (j *Judge) Blame(id string) {
 	j.mu.Lock()
--- a/internal/tool/grid/load.go
+++ b/internal/tool/grid/load.go
@@ -223,7 +223,11 @@
 		v.clock.gate()
 		out <- v.Node.Submit(ctx, serve.Submission{Host: host, Path: "/" + g.Kinds[kind].Name + "/" + j.ID, Job: j, Left: left})
 	}()
-	return g.await(v, out)
+	a := g.await(v, out)
+	if a.Outcome == job.Unknown {
+		g.Judge.Free(time.Now(), j.ID)
+	}
+	return a
 }
 
 // deadLook is how often a caller notices that its VM has died.
