A job that comes again while its former call is pending goes to the same owner

Callers whose connection broke, which this VM did not notice, could have a task run twice at once when they submitted the job again at the same VM.

Cause: the former call was dropped with a message to its owner, and the new one was handed to the best owner at once.

Change: the new call goes to the owner that had the former one. Its book refuses while runs of the job go on, and else takes it or refuses it as any other; only then other owners are asked. If it can't be reached, or got the job too late to look, the caller is refused as 'running' and may come again after Outlive, when the last word has run out. A job that is parked belongs to no owner.

Why it holds: runs of a job that is pending here are at the owner that has it; owners that refused it before said that nothing began. All ways to another owner lead past a refusal that the former owner made with its book before it.

go test ./internal/edge/serve -run ComesAgain -count=20: passes. Before: again_test.go:100: 127.0.0.2:1 != 127.0.0.3:1 again_test.go:110: unknown != refused again_test.go:121: 3 != 2 again_test.go:135: not true: r.mesh.to[2] != r.mesh.to[0] The tests read the answers of each submission by themselves now: which of two came first was left to chance. Their checks are unchanged; the four lines before are of the changed tests on the code of before.

--- a/internal/edge/serve/again_test.go
+++ b/internal/edge/serve/again_test.go
@@ -44,14 +44,16 @@
 	*Node
 	mesh *hands
 	ctx  context.Context
-	out  chan job.Answer
+	out  chan job.Answer // of the former call
 }
 
-func (r *repeated) submit() {
+func (r *repeated) submit() chan job.Answer {
+	out := make(chan job.Answer, 1)
 	go func() {
-		r.out <- r.Submit(r.ctx, Submission{Path: "/q/j", Job: batch.Job{Steps: []batch.Step{{Count: 1, Need: job.Size{Cores: 9}}}}})
+		out <- r.Submit(r.ctx, Submission{Path: "/q/j", Job: batch.Job{Steps: []batch.Step{{Count: 1, Need: job.Size{Cores: 9}}}}})
 	}()
 	synctest.Wait()
+	return out
 }
 
 // answer is what the owner of the n-th hand-over answers.
@@ -81,8 +83,8 @@
 			n.hear(now, at(i), owner.Load{Free: 64, Total: 64}, true, repeatEvery)
 		}
 		n.mu.Unlock()
-		r := &repeated{Node: n, mesh: mesh, ctx: ctx, out: make(chan job.Answer, 2)}
-		r.submit()
+		r := &repeated{Node: n, mesh: mesh, ctx: ctx}
+		r.out = r.submit()
 		n.mu.Lock() // now another owner is better
 		n.hear(now, mesh.to[0], owner.Load{Free: 1, Total: 64, Ahead: [3]float64{99, 99, 99}}, true, repeatEvery)
 		n.mu.Unlock()
@@ -104,9 +106,7 @@
 func TestJobThatComesAgainWaitsForAnOwnerOutOfReach(t *testing.T) {
 	playRepeated(t, func(is *is.I, r *repeated) {
 		r.mesh.down = true
-		r.submit()
-		<-r.out
-		a := <-r.out
+		a := <-r.submit()
 		is.Equal(a.Outcome, job.Refused)
 		is.Equal(a.Reason, job.StillRuns)
 		is.True(a.Retry >= r.cfg.Limits.Outlive())
@@ -116,11 +116,10 @@
 // Guards against a second start of a job elsewhere when its former owner got it too late to look what still runs.
 func TestJobThatComesAgainTooLateStaysWithItsFormerOwner(t *testing.T) {
 	playRepeated(t, func(is *is.I, r *repeated) {
-		r.submit()
+		out := r.submit()
 		r.answer(1, *job.Refuse(job.Silent, 0, "it came 500ms after it was sent"))
 		is.Equal(len(r.mesh.to), 2)
-		<-r.out
-		a := <-r.out
+		a := <-out
 		is.Equal(a.Outcome, job.Refused)
 		is.Equal(a.Reason, job.StillRuns)
 		is.True(a.Retry >= r.cfg.Limits.Outlive())
--- a/internal/edge/serve/submit.go
+++ b/internal/edge/serve/submit.go
@@ -43,6 +43,7 @@
 	// timeout is the queue's, if the caller says how long it waits.
 	timeout time.Duration
 	to      netip.AddrPort // the owner that has it
+	former  netip.AddrPort // the owner of a former call of the same job, whose runs may go on
 	handed  time.Time      // when it got it
 	tried   []netip.AddrPort
 	done    chan struct{}
@@ -66,10 +67,15 @@
 	d.mu.Lock()
 	d.noteWait(c)
 	if old := d.byID[j.ID]; old != nil {
+		c.former = old.to
 		d.drop(old, job.Answer{Outcome: job.Unknown, Reason: job.StillRuns, Detail: "the same job was submitted again"})
 	}
 	d.calls[c.n], d.byID[j.ID] = c, c
-	d.send(now, c)
+	if c.former.IsValid() {
+		d.sendBack(now, c)
+	} else {
+		d.send(now, c)
+	}
 	d.perform()
 	d.mu.Unlock()
 	t := time.NewTimer(j.Left)
@@ -145,25 +151,16 @@
 			d.end(c, job.Answer{Outcome: job.Refused, Reason: job.Silent, Retry: spread(leastRetry), Detail: fmt.Sprintf("this VM's messages come %s late", d.delay)})
 			return
 		}
-		c.tried = append(c.tried, vm)
-		c.to = vm
-		j := *c.job // the call's own stays as it came
-		j.Age, j.Left = now.Sub(c.came), c.due.Sub(now)
-		if vm == d.cfg.VM {
-			d.book.Submit(now, owner.Key{VM: vm, Inc: d.cfg.Inc, Call: c.n}, &j)
-			return
-		}
-		if err := d.hand(now, vm, c, &j); err != nil {
+		if err := d.give(now, vm, c); err != nil {
 			d.log.Info("owner unreachable", "job", c.job.ID, "owner", vm, "err", err)
 			d.table.Down(vm, now)
 			continue
 		}
-		d.table.Sent(vm, c.cores)
 		return
 	}
 	a := c.a
 	if (len(c.tried) == 0 || d.missing(now)) && now.Sub(c.came) < ownerWait {
-		c.tried = c.tried[:0]
+		c.tried, c.to = c.tried[:0], netip.AddrPort{}
 		d.parked = append(d.parked, c)
 		return
 	}
@@ -174,6 +171,37 @@
 	d.end(c, a)
 }
 
+// sendBack gives a call to the owner of a former call of the same job, which alone knows whether runs of it go on.
+// The caller holds the lock.
+func (d *Node) sendBack(now time.Time, c *call) {
+	if err := d.give(now, c.former, c); err != nil {
+		d.log.Info("former owner unreachable", "job", c.job.ID, "owner", c.former, "err", err)
+		d.end(c, d.mayRun(c))
+	}
+}
+
+// mayRun refuses a call for as long as runs of its job may go on at the owner of a former one.
+func (d *Node) mayRun(c *call) job.Answer {
+	return *job.Refuse(job.StillRuns, spread(d.cfg.Limits.Outlive()), "the same job may still run at %s", c.former)
+}
+
+// give gives a call to an owner; the caller holds the lock.
+func (d *Node) give(now time.Time, vm netip.AddrPort, c *call) error {
+	c.tried = append(c.tried, vm)
+	c.to = vm
+	j := *c.job // the call's own stays as it came
+	j.Age, j.Left = now.Sub(c.came), c.due.Sub(now)
+	if vm == d.cfg.VM {
+		d.book.Submit(now, owner.Key{VM: vm, Inc: d.cfg.Inc, Call: c.n}, &j)
+		return nil
+	}
+	if err := d.hand(now, vm, c, &j); err != nil {
+		return fmt.Errorf("give to an owner: %w", err)
+	}
+	d.table.Sent(vm, c.cores)
+	return nil
+}
+
 // errUnheard is returned for an owner none of whose heartbeats was read.
 var errUnheard = errors.New("not heard yet")
 
@@ -228,7 +256,11 @@
 		return
 	}
 	if a.Outcome == job.Refused && again(a.Reason) {
-		c.a = a
+		if c.former == from && a.Reason == job.Silent { // it did not look what still runs
+			d.end(c, d.mayRun(c))
+			return
+		}
+		c.a, c.former = a, netip.AddrPort{}
 		d.send(now, c)
 		d.perform()
 		return
