A job whose old runs are being stopped may come again once they must be over

Callers that submitted a job again while runs of it went on were told 'running' with a Retry-After of 0.3 s.

Cause: 0.3 s is what a stop takes when it is confirmed; that it is was taken for granted.

Change: the time to come back is what is left of the word for the old job, after which no lease that was asked for holds its runs; 0.3 s at least, and if no time is known after which callers submit again.

Why it holds: Endpoint.Until asks for no lease beyond By of any run there, and By of a job that has ended is fixed.

--- a/internal/task/owner/take.go
+++ b/internal/task/owner/take.go
@@ -17,7 +17,7 @@
 			b.finish(now, old, job.Answer{Outcome: job.Unknown, Reason: job.StillRuns, Detail: "the same job was submitted again"})
 		}
 		if len(old.runs) > 0 {
-			b.refuse(now, key, j, job.StillRuns, stopWait, "a run of the same job is being stopped")
+			b.refuse(now, key, j, job.StillRuns, b.runsFor(now, old), "a run of the same job is being stopped")
 			return
 		}
 	}
@@ -52,9 +52,17 @@
 	b.pump(now)
 }
 
-// stopWait is when a job may come again whose former runs are being stopped.
+// stopWait is when a job may come again whose former runs are being stopped, at the earliest.
 const stopWait = 300 * time.Millisecond
 
+// runsFor is how much longer runs of a job that has ended may go on if no stop of them is confirmed.
+func (b *Book) runsFor(now time.Time, e *entry) time.Duration {
+	if b.cfg.Limits.Resend <= 0 { // nothing bounds them but the leases of all that runs beside them
+		return stopWait
+	}
+	return max(stopWait, e.By(now).Sub(now))
+}
+
 func (b *Book) refuse(now time.Time, key Key, j *batch.Job, why job.Reason, retry time.Duration, detail string) {
 	b.cfg.Log.Info("job refused", "job", j.ID, "by", key.VM, "queue", j.Queue, "rank", j.Rank, "tasks", j.Tasks(), "cores", j.Steps[0].Need.Cores, "reason", string(why), "detail", detail,
 		"queued", len(b.queue), "free", b.freeCores(), "fit", b.fitting(j), "pressure", math.Round(100*b.pressure(now, ranks))/100)
