Answers to a VM's former incarnation are not taken for this one's

A VM that was restarted could take the answer to a job of its former incarnation for that to a new one. If the old job was refused, the new one went to another owner while the first ran it: a task ran twice at once. If it was done, a caller was told that a job was done which had not run.

Cause: both incarnations number their calls from 1, and an answer (Told) named the call alone. An owner tells a VM of all jobs of its former incarnation as soon as it hears the new one; what it casts then reaches the new one. Whether the numbers met was left to how long the former one had lived: with several restarts in a row they are all small.

Change: an answer names the incarnation that it is for; any other ignores it.

Why it holds: incarnations of a VM differ, and calls of one are numbered once. Hand, Keep and Drop were judged by incarnation before.

A VM of code before this one sends no incarnation: its answers are ignored, as its jobs are since Hand names one.

--- a/internal/edge/serve/beat.go
+++ b/internal/edge/serve/beat.go
@@ -278,7 +278,9 @@
 	case *frame.Told:
 		d.mu.Lock()
 		d.hear(now, from.VM, loadOf(m.Load), from.Domain == d.cfg.Domain, m.Load.Next)
-		d.resolve(now, from.VM, m.Call, m.Answer)
+		if m.To == d.cfg.Inc { // calls of a former incarnation had the same numbers
+			d.resolve(now, from.VM, m.Call, m.Answer)
+		}
 		d.mu.Unlock()
 	case *frame.Planned:
 		d.plannedBy(from.VM, m)
--- a/internal/edge/serve/perform.go
+++ b/internal/edge/serve/perform.go
@@ -71,7 +71,7 @@
 		d.resolve(now, t.Key.VM, t.Key.Call, t.Answer)
 		return
 	}
-	m := &frame.Told{Call: t.Key.Call, Answer: t.Answer, Load: d.loadFrame(d.load(now))}
+	m := &frame.Told{To: t.Key.Inc, Call: t.Key.Call, Answer: t.Answer, Load: d.loadFrame(d.load(now))}
 	if err := d.parts.Mesh.Cast(t.Key.VM, m); err != nil {
 		d.log.Info("answer lost", "vm", t.Key.VM, "call", t.Key.Call, "outcome", t.Answer.Outcome.String(), "err", err)
 	}
--- a/internal/mesh/frame/frame_test.go
+++ b/internal/mesh/frame/frame_test.go
@@ -21,6 +21,7 @@
 		&Back{Group: 1, Ended: []Ended{{Job: 2, Fate: Ran, Body: []byte("y")}}},
 		&Submit{Call: 1, Req: job.Request{Tenant: "crew", Tasks: []job.Task{{Body: []byte("z")}}}},
 		&Reply{Call: 1, Answer: job.Answer{Outcome: job.Done, Results: [][]byte{[]byte("r")}}},
+		&Told{To: 3, Call: 1, Answer: job.Answer{Outcome: job.Done}},
 		&Have{}, &Want{}, &Keep{To: 3, Asked: time.Unix(1_700_000_000, 5), Calls: []uint64{1, 2}},
 	}
 }
--- a/internal/mesh/frame/msg.go
+++ b/internal/mesh/frame/msg.go
@@ -215,7 +215,8 @@
 
 // Told answers a Hand.
 type Told struct {
-	Call   uint64     `msgpack:"c"`
+	To     uint64     `msgpack:"b"` // the incarnation that handed the job over
+	Call   uint64     `msgpack:"c"` // of that incarnation
 	Answer job.Answer `msgpack:"a"`
 	Load   Load       `msgpack:"l"`
 }
