No run begins under a lease that ends after its word

A VM that stood still between reading the clock and taking its lock could start a task on a word that was fresh by the old time, on an endpoint whose lease had been renewed meanwhile, 0.7 s beyond what the word allows.

Cause: the lease that was asked for already was bounded by the freshness of the word only, and that by a time read before the lock.

Change: a run begins only where no lease was asked for beyond its word, whatever the time is; and the time is read under the lock wherever jobs, starts and leases are decided. The rapid test of leases steps back in time and takes words of any age now. It fails without the change of Leasable.

--- a/internal/edge/serve/beat.go
+++ b/internal/edge/serve/beat.go
@@ -20,9 +20,9 @@
 func (d *Node) beat() {
 	now := d.now()
 	for _, c := range d.view.Tick(now) {
-		d.changed(now, c)
+		d.changed(c)
 	}
-	d.mu.Lock()
+	now = d.lock()
 	d.lookLate(now)
 	d.lookAlone(now)
 	d.decide(now)
@@ -67,9 +67,7 @@
 // heartbeat would be up to 0.1 s later. Without it played days that end with such a loss are
 // worth 0.002 to 0.008 less.
 func (d *Node) hail() {
-	now := d.now()
-	d.mu.Lock()
-	b := d.pulse(now)
+	b := d.pulse(d.lock())
 	d.mu.Unlock()
 	var to []netip.AddrPort
 	for _, m := range d.view.Members() {
@@ -81,9 +79,9 @@
 }
 
 // changed takes in that a VM came, went or was replaced.
-func (d *Node) changed(now time.Time, c view.Change) {
+func (d *Node) changed(c view.Change) {
 	d.log.Info("vm "+c.State.String(), "vm", c.VM, "inc", c.Inc, "reborn", c.Reborn)
-	d.mu.Lock()
+	now := d.lock()
 	defer d.mu.Unlock()
 	if c.State == view.Alive && (d.since[c.VM].IsZero() || c.Reborn) {
 		d.since[c.VM] = now
@@ -135,8 +133,7 @@
 
 // tick looks at deadlines.
 func (d *Node) tick() {
-	now := d.now()
-	d.mu.Lock()
+	now := d.lock()
 	defer d.mu.Unlock()
 	d.silences(now)
 	if now.Sub(d.began) < joinFor {
@@ -153,8 +150,7 @@
 
 // tell sends this VM's load to the others when it changed.
 func (d *Node) tell() {
-	now := d.now()
-	d.mu.Lock()
+	now := d.lock()
 	l := d.load(now)
 	if d.leaving.Load() {
 		l = owner.Load{}
@@ -213,11 +209,11 @@
 
 // take takes in a job that another VM hands over. One that was under way for too long came over a link that was cut, or
 // this VM was paused: the one that sent it takes this one for lost, and its caller submits the job again elsewhere.
-func (d *Node) take(now time.Time, from frame.Hello, m *frame.Hand) {
+func (d *Node) take(from frame.Hello, m *frame.Hand) {
 	key := owner.Key{VM: from.VM, Inc: from.Inc, Call: m.Call}
-	age := now.Sub(m.Job.Asked)
-	d.mu.Lock()
+	now := d.lock()
 	defer d.mu.Unlock()
+	age := now.Sub(m.Job.Asked)
 	if m.To != d.cfg.Inc || age > d.cfg.Limits.Fresh() {
 		d.log.Info("job came too late", "job", m.Job.ID, "by", from.VM, "age", age, "to", m.To)
 		d.answer(&owner.Tell{Key: key, Answer: *job.Refuse(job.Silent, 0, "it came %s after it was sent", age)})
@@ -237,8 +233,8 @@
 }
 
 // heed takes in which tasks another owner suspects.
-func (d *Node) heed(now time.Time, all []frame.Suspect) {
-	d.mu.Lock()
+func (d *Node) heed(all []frame.Suspect) {
+	now := d.lock()
 	defer d.mu.Unlock()
 	for _, s := range all {
 		d.book.Heed(now, owner.Suspect(s))
@@ -251,10 +247,10 @@
 	switch m := m.(type) {
 	case *frame.Beat:
 		if c, ok := d.view.Hear(now, from, m); ok {
-			d.changed(now, c)
+			d.changed(c)
 		}
 		if len(m.Suspects) > 0 {
-			d.heed(now, m.Suspects)
+			d.heed(m.Suspects)
 		}
 		if m.Load != nil {
 			d.mu.Lock()
@@ -266,17 +262,17 @@
 		d.hear(now, from.VM, loadOf(*m), from.Domain == d.cfg.Domain, m.Next)
 		d.mu.Unlock()
 	case *frame.Hand:
-		d.take(now, from, m)
+		d.take(from, m)
 	case *frame.Keep:
-		d.kept(now, from, m)
+		d.kept(from, m)
 	case *frame.Drop:
 		d.log.Info("job not wanted", "by", from.VM, "call", m.Call, "age", d.age(now, from.VM, m.At).Round(time.Millisecond))
-		d.mu.Lock()
+		now := d.lock()
 		d.book.Cancel(now, owner.Key{VM: from.VM, Inc: from.Inc, Call: m.Call}, "its caller left")
 		d.perform()
 		d.mu.Unlock()
 	case *frame.Told:
-		d.mu.Lock()
+		now := d.lock()
 		d.hear(now, from.VM, loadOf(m.Load), from.Domain == d.cfg.Domain, m.Load.Next)
 		if m.To == d.cfg.Inc { // calls of a former incarnation had the same numbers
 			d.resolve(now, from.VM, m.Call, m.Answer)
--- a/internal/edge/serve/keep.go
+++ b/internal/edge/serve/keep.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/netip"
-	"time"
 
 	"dahliawinch/internal/mesh/frame"
 	"dahliawinch/internal/mesh/view"
@@ -12,14 +11,14 @@
 // keep tells other owners which of their jobs this VM still waits for. What an owner runs for this VM ends a bounded
 // time after the last such word was sent, so neither a message that comes late nor one that is lost prolongs a run.
 func (d *Node) keep() {
-	for vm, m := range d.wanted(d.now()) {
+	for vm, m := range d.wanted() {
 		d.parts.Mesh.Spread([]netip.AddrPort{vm}, m)
 	}
 }
 
 // wanted lists the jobs at other owners that were not handed over just now.
-func (d *Node) wanted(now time.Time) map[netip.AddrPort]*frame.Keep {
-	d.mu.Lock()
+func (d *Node) wanted() map[netip.AddrPort]*frame.Keep {
+	now := d.lock()
 	defer d.mu.Unlock()
 	all := map[netip.AddrPort]*frame.Keep{}
 	for n, c := range d.calls {
@@ -49,16 +48,16 @@
 }
 
 // kept takes in which jobs another VM still waits for.
-func (d *Node) kept(now time.Time, from frame.Hello, m *frame.Keep) {
+func (d *Node) kept(from frame.Hello, m *frame.Keep) {
 	if m.To != d.cfg.Inc {
 		return
 	}
+	now := d.lock()
+	defer d.mu.Unlock()
 	asked := m.Asked
 	if asked.After(now) {
 		asked = now
 	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
 	for _, n := range m.Calls {
 		d.book.Keep(now, owner.Key{VM: from.VM, Inc: from.Inc, Call: n}, asked)
 	}
--- a/internal/edge/serve/node.go
+++ b/internal/edge/serve/node.go
@@ -177,6 +177,13 @@
 
 func (d *Node) now() time.Time { return d.parts.Clock.Now() }
 
+// lock takes the lock and returns the time by then: what is decided under it must not go by a time from before the VM
+// was paused.
+func (d *Node) lock() time.Time {
+	d.mu.Lock()
+	return d.now()
+}
+
 // Ready reports whether callers may be sent here.
 func (d *Node) Ready() bool {
 	if d.leaving.Load() || d.plan.Load() == nil {
@@ -198,9 +205,8 @@
 // jobs that they had sent here; callers submit them again elsewhere.
 func (d *Node) jump(gap time.Duration) {
 	d.log.Warn("vm was paused", "gap", gap)
-	now := d.now()
-	d.view.Resume(now)
-	d.mu.Lock()
+	d.view.Resume(d.now())
+	now := d.lock()
 	defer d.mu.Unlock()
 	d.book.CancelOf(now, func(k owner.Key) bool { return k.VM != d.cfg.VM }, "this VM was paused, and taken for lost")
 	d.perform()
--- a/internal/edge/serve/submit.go
+++ b/internal/edge/serve/submit.go
@@ -64,7 +64,7 @@
 		c.cores = max(c.cores, float64(j.Steps[i].Count)*j.Steps[i].Need.Cores)
 	}
 	d.log.Info("request", "job", j.ID, "queue", j.Queue, "tasks", j.Tasks(), "left", j.Left)
-	d.mu.Lock()
+	now = d.lock()
 	d.noteWait(c)
 	if old := d.byID[j.ID]; old != nil {
 		c.former = old.to
--- a/internal/task/lease/lease.go
+++ b/internal/task/lease/lease.go
@@ -184,8 +184,11 @@
 	return ask
 }
 
-// Leasable reports whether a lease that is asked for now would last: not while a run here must end soon.
-func (e *Endpoint) Leasable(now time.Time) bool { return 2*e.ask(now) >= e.limits.Lease() }
+// Leasable reports whether a job's run may begin here: no lease was asked for beyond it, and one that is asked for now
+// would last, which it doesn't while a run here must end soon.
+func (e *Endpoint) Leasable(now time.Time, j Job) bool {
+	return !e.lapse.After(j.By(now)) && 2*e.ask(now) >= e.limits.Lease()
+}
 
 // Started takes in the answer to a start; it reports false for a run that was over.
 func (e *Endpoint) Started(now time.Time, r *Run) bool {
--- a/internal/task/lease/limits_test.go
+++ b/internal/task/lease/limits_test.go
@@ -37,11 +37,11 @@
 		e.Take(now, now, Report{Clock: 1000})
 		var bys []*until
 		for n := range 30 {
-			now = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "pause")) * time.Millisecond)
-			age := time.Duration(rapid.IntRange(0, int(l.Fresh()/time.Millisecond)).Draw(t, "age")) * time.Millisecond
+			now = now.Add(time.Duration(rapid.IntRange(-700, 1000).Draw(t, "step")) * time.Millisecond) // some are read before a pause
+			age := time.Duration(rapid.IntRange(0, int(l.Outlive()/time.Millisecond)).Draw(t, "age")) * time.Millisecond
 			by := until(now.Add(l.Outlive() - age))
 			switch i := rapid.IntRange(0, 2).Draw(t, "what"); {
-			case i == 0 && e.Leasable(now):
+			case i == 0 && e.Leasable(now, &by):
 				bys = append(bys, &by)
 				e.Start(now, task(n), 1, need).Job = &by
 			case i == 1 && len(bys) > 0 && time.Time(by).After(time.Time(*bys[len(bys)-1])):
--- a/internal/task/owner/pump.go
+++ b/internal/task/owner/pump.go
@@ -143,7 +143,7 @@
 
 func (b *Book) usable(now time.Time, s *site, e *entry, st *batch.Step) bool {
 	switch {
-	case s.lost, !s.Endpoint.Open(), !s.Leasable(now), now.Before(s.full), s.giving && !e.begun, !b.admits(now, s, e):
+	case s.lost, !s.Endpoint.Open(), !s.Leasable(now, e), now.Before(s.full), s.giving && !e.begun, !b.admits(now, s, e):
 		return false
 	case !st.Need.Fits(s.Free()), !fitsLabel(s, st, e.Pool):
 		return false
--- a/internal/task/owner/word_test.go
+++ b/internal/task/owner/word_test.go
@@ -106,3 +106,18 @@
 	b.Keep(now, key(2), now.Add(-10*time.Millisecond))
 	is.Equal(len(b.Take().Starts), 1)
 }
+
+// Guards against a start at a time read before a pause, on an endpoint whose lease was renewed after it.
+func TestRunStartedAtAnOldTimeEndsWithItsWord(t *testing.T) {
+	is := is.New(t)
+	b := resending(96, 5*time.Second)
+	begin(b, t0, b.Take().Starts)
+	ep := b.Find("e")
+	asked := t0.Add(200 * time.Millisecond)
+	old := asked.Add(b.cfg.Limits.Fresh())
+	woke := old.Add(700 * time.Millisecond)
+	b.Keep(woke, key(1), woke)
+	ep.Until(woke)
+	b.Submit(old, key(2), askedAt(asked, of("k1", 0, tasks(1, 30, 5*time.Second))))
+	is.Equal(len(b.Take().Starts), 0)
+}
