The sums of a run's time hold for all settings that are taken

With 'resend' 400 ms and 'stop' 100 ms, or 1.3 s and 500 ms, a stop had less time than the platform may take for one, and the test asked for half of it only.

Change: twice the longest stop is kept at least, a word is fresh for half of the time after which it is doubted at most, words come 2.5 times in that, and 'stop' may be a fifth of 'resend' at most; a larger one is an error that names both. The test asserts the whole stop, and that fresh is less than doubted, for any settings that the check takes.

--- a/internal/edge/serve/settings.go
+++ b/internal/edge/serve/settings.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"dahliawinch/internal/conf/valid"
+	"dahliawinch/internal/task/lease"
 )
 
 // Settings of the daemon. Times are written with their unit, such as "900ms".
@@ -77,6 +78,7 @@
 	need(s.Hold.Std() >= 100*time.Millisecond && s.Hold.Std() <= time.Minute, "hold", s.Hold.Std(), "use 100ms to 1m")
 	need(s.Stop.Std() > 0 && s.Stop.Std() <= 10*time.Second, "stop", s.Stop.Std(), "use 1ms to 10s")
 	need(s.Resend.Std() >= leastResend && s.Resend.Std() <= time.Minute, "resend", s.Resend.Std(), "use 400ms to 1m")
+	need(s.Stop.Std() <= s.Resend.Std()/lease.StopPart, "stop", s.Stop.Std(), "use at most a fifth of resend, "+(s.Resend.Std()/lease.StopPart).String())
 	need(s.Grace.Std() > 0 && s.Grace.Std() <= time.Hour, "grace", s.Grace.Std(), "use 1s to 1h")
 	need(s.Far >= 1, "far", s.Far, "use 1 or more")
 	_, err := s.peers()
--- a/internal/task/lease/limits.go
+++ b/internal/task/lease/limits.go
@@ -16,10 +16,13 @@
 	// Resend is after how long a caller whose job's outcome is unknown submits it again, at the earliest;
 	// 0 if callers never do.
 	Resend time.Duration
-	// Notice is how long a VM may take to notice that a caller is gone.
+	// Notice is how long the end of a caller's connection may be under way.
 	Notice time.Duration
 }
 
+// StopPart is how many of the longest stops go into Resend at least.
+const StopPart = 5
+
 const (
 	// part of the longest lease that is asked for: a renewal takes a few milliseconds,
 	// and an order that is carried out late finds its lease in the past sooner.
@@ -40,9 +43,11 @@
 	// confirmPart the part of Outlive that is kept for it.
 	confirmMost = 300 * time.Millisecond
 	confirmPart = 1.0 / 3
-	// tellMost is the longest pause between two words, and tellPart the part of Outlive that it takes.
+	// stops is how many times the longest stop is kept for it at least.
+	stops = 2
+	// tells is how many words a VM sends while one is fresh, tellMost the longest pause between two.
+	tells    = 2.5
 	tellMost = 150 * time.Millisecond
-	tellPart = 1.0 / 8
 )
 
 // Outlive is how long after the last word of its caller's VM a run may go on.
@@ -54,7 +59,9 @@
 }
 
 // Fresh is how old the word of a job's VM may be for its tasks to be started.
-func (l Limits) Fresh() time.Duration { return scaled(l.Outlive(), freshPart) }
+func (l Limits) Fresh() time.Duration {
+	return min(scaled(l.Outlive(), freshPart), l.Doubt()/2)
+}
 
 // Doubt is how old the word of a job's VM is when the job is ended.
 func (l Limits) Doubt() time.Duration {
@@ -62,11 +69,11 @@
 	if o == forever {
 		return forever
 	}
-	return min(doubtMost, o-min(confirmMost, scaled(o, confirmPart)))
+	return min(doubtMost, o-max(stops*l.Stop, min(confirmMost, scaled(o, confirmPart))))
 }
 
 // Tell is the pause between two words of a VM on the jobs that it waits for.
-func (l Limits) Tell() time.Duration { return min(tellMost, scaled(l.Outlive(), tellPart)) }
+func (l Limits) Tell() time.Duration { return min(tellMost, scaled(l.Fresh(), 1/tells)) }
 
 // Lease is the longest that is asked for, on the endpoint's clock.
 func (l Limits) Lease() time.Duration {
--- a/internal/task/lease/limits_test.go
+++ b/internal/task/lease/limits_test.go
@@ -15,11 +15,14 @@
 		ms := func(name string, least, most int) time.Duration {
 			return time.Duration(rapid.IntRange(least, most).Draw(t, name)) * time.Millisecond
 		}
-		l := Limits{Hold: ms("hold", 100, 60_000), Stop: ms("stop", 1, 100), Resend: ms("resend", 400, 60_000), Notice: 130 * time.Millisecond}
+		resend := ms("resend", 400, 60_000)
+		stop := time.Duration(rapid.IntRange(1, int(resend/StopPart)).Draw(t, "stop"))
+		l := Limits{Hold: ms("hold", 100, 60_000), Stop: stop, Resend: resend, Notice: 100 * time.Millisecond}
 		slowest := time.Duration(float64(l.Lease())/(1-drift)) + grace // that a lease may last
 		is.True(l.Lease() > 0)
 		is.True(l.Fresh()+slowest <= l.Outlive())
-		is.True(l.Doubt()+l.Stop/2 <= l.Outlive()) // a stop has time
+		is.True(l.Doubt()+l.Stop < l.Outlive()) // a stop has time
+		is.True(l.Fresh() < l.Doubt())
 		is.True(l.Outlive()+l.Notice <= l.Resend)
 		is.True(2*l.Tell() <= l.Fresh()) // one word in two may be lost
 	})
