New messages between VMs come after the old ones

Keep is numbered last and To has a name of its own. A job of older code names no incarnation and is refused as too late, its VM asks another owner.

--- a/internal/mesh/frame/msg.go
+++ b/internal/mesh/frame/msg.go
@@ -36,8 +36,8 @@
 	kindListed
 	kindAsk
 	kindSeen
-	kindKeep
 	kindPacked // another message, compressed; see Pack
+	kindKeep
 	kinds
 )
 
@@ -201,7 +201,7 @@
 
 // Hand gives a job to the owner of leased endpoints.
 type Hand struct {
-	To   uint64    `msgpack:"a"` // the receiver's incarnation, whose clock Job.Asked goes by
+	To   uint64    `msgpack:"t"` // the receiver's incarnation, whose clock Job.Asked goes by
 	Call uint64    `msgpack:"c"`
 	Job  batch.Job `msgpack:"j"`
 }
