A VM asks for a job only while it sees its caller's connection open

A caller whose connection had ended, and who submitted its job again elsewhere, could have it run twice at once: its first VM went on asking for the job until it was woken by the end of the connection, and began a job whose caller had left before its request was read (a VM that was frozen).

Change: the connection is looked at as the word is given, with Keep and each 50 ms for jobs that the VM runs itself, whose word grows old like any other; and before a job begins. What is left is the time for which the end of a connection is under way; 0.1 s of it are allowed for (Limits.Notice, 0.13 s before for the looks). An owner that was not heard yet isn't marked as down.

--- a/internal/edge/hangup/hangup.go
+++ b/internal/edge/hangup/hangup.go
@@ -16,23 +16,39 @@
 	patient = 50 * time.Millisecond
 	// lookEvery is the time between two looks.
 	lookEvery = 100 * time.Millisecond
-	// Notice is how long after a caller has left its leaving is noticed.
-	Notice = lookEvery + 30*time.Millisecond
+	// Notice is how long the end of a caller's connection may be under way.
+	Notice = 100 * time.Millisecond
 )
 
-// Watch calls fn when the caller closes its connection while its request is
-// being worked on. The HTTP library reads nothing meanwhile, so waiting work
-// would keep its place in the queue for a caller that is gone.
-func Watch(c net.Conn, fn func()) (stop func()) {
+// Open reports whether a caller's connection is open, as far as its end has arrived.
+func Open(c net.Conn) bool {
+	sys, ok := rawConn(c)
+	return !ok || !hungUp(sys)
+}
+
+// rawConn returns the connection below TLS; false if the kernel doesn't know it.
+func rawConn(c net.Conn) (syscall.RawConn, bool) {
 	if t, ok := c.(*tls.Conn); ok {
 		c = t.NetConn()
 	}
 	raw, ok := c.(syscall.Conn)
 	if !ok {
-		return func() {}
+		return nil, false
 	}
 	sys, err := raw.SyscallConn()
-	if err != nil {
+	return sys, err == nil
+}
+
+// Watch calls fn when the caller closes its connection while its request is
+// being worked on, at once if it has. The HTTP library reads nothing meanwhile, so waiting work
+// would keep its place in the queue for a caller that is gone.
+func Watch(c net.Conn, fn func()) (stop func()) {
+	sys, ok := rawConn(c)
+	if !ok {
+		return func() {}
+	}
+	if hungUp(sys) {
+		fn()
 		return func() {}
 	}
 	w := &watch{conn: sys, fn: fn}
--- a/internal/edge/serve/beat.go
+++ b/internal/edge/serve/beat.go
@@ -135,6 +135,7 @@
 func (d *Node) tick() {
 	now := d.lock()
 	defer d.mu.Unlock()
+	d.keepOwn(now)
 	d.silences(now)
 	if now.Sub(d.began) < joinFor {
 		d.decide(now) // not only with heartbeats: until the first claim all jobs wait
--- a/internal/edge/serve/keep.go
+++ b/internal/edge/serve/keep.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"time"
 
 	"dahliawinch/internal/mesh/frame"
 	"dahliawinch/internal/mesh/view"
@@ -16,13 +17,13 @@
 	}
 }
 
-// wanted lists the jobs at other owners that were not handed over just now.
+// wanted lists the jobs at other owners that were not handed over just now and whose callers are there.
 func (d *Node) wanted() map[netip.AddrPort]*frame.Keep {
 	now := d.lock()
 	defer d.mu.Unlock()
 	all := map[netip.AddrPort]*frame.Keep{}
 	for n, c := range d.calls {
-		if !c.to.IsValid() || c.to == d.cfg.VM || now.Sub(c.handed) < d.cfg.Limits.Tell()/2 {
+		if !c.to.IsValid() || c.to == d.cfg.VM || now.Sub(c.handed) < d.cfg.Limits.Tell()/2 || c.left() {
 			continue
 		}
 		m := all[c.to]
@@ -39,6 +40,18 @@
 	return all
 }
 
+// keepOwn does the same for the jobs that this VM runs itself; the caller holds the lock.
+func (d *Node) keepOwn(now time.Time) {
+	for n, c := range d.calls {
+		if c.to == d.cfg.VM && !c.left() {
+			d.book.Keep(now, owner.Key{VM: c.to, Inc: d.cfg.Inc, Call: n}, now)
+		}
+	}
+}
+
+// left reports whether the caller has closed its connection.
+func (c *call) left() bool { return c.open != nil && !c.open() }
+
 // heardOf returns a VM whose heartbeats come, nil for any other: what its clock shows is not known.
 func (d *Node) heardOf(vm netip.AddrPort) *view.Member {
 	if p := d.view.Find(vm); p != nil && p.State != view.Listed {
--- a/internal/edge/serve/parts.go
+++ b/internal/edge/serve/parts.go
@@ -51,6 +51,9 @@
 	Job     batch.Job
 	Left    time.Duration // 0 if the caller names no deadline
 	Refused string        // why a job of this kind is not served; empty if it is
+	// Open reports whether the caller's connection is open; nil if it can't be looked at. It is not called
+	// after Submit has returned, and must not block.
+	Open func() bool
 }
 
 // Door is the daemon as callers reach it.
--- a/internal/edge/serve/submit.go
+++ b/internal/edge/serve/submit.go
@@ -46,6 +46,7 @@
 	former  netip.AddrPort // the owner of a former call of the same job, whose runs may go on
 	handed  time.Time      // when it got it
 	tried   []netip.AddrPort
+	open    func() bool // reports whether the caller's connection is open; may be nil
 	done    chan struct{}
 	ended   bool
 	a       job.Answer
@@ -59,7 +60,11 @@
 		d.log.Info("request refused", "host", s.Host, "path", s.Path, "reason", string(refusal.Reason), "detail", refusal.Detail)
 		return *refusal
 	}
-	c := &call{n: d.serial.Add(1), job: j, came: now, due: now.Add(j.Left), timeout: timeout, done: make(chan struct{})}
+	if ctx.Err() != nil {
+		d.log.Info("request dropped", "job", j.ID, "queue", j.Queue, "why", "its caller has left")
+		return job.Answer{Outcome: job.Unknown, Reason: job.Canceled, Detail: "its caller left"}
+	}
+	c := &call{n: d.serial.Add(1), job: j, came: now, due: now.Add(j.Left), timeout: timeout, open: s.Open, done: make(chan struct{})}
 	for i := range j.Steps {
 		c.cores = max(c.cores, float64(j.Steps[i].Count)*j.Steps[i].Need.Cores)
 	}
@@ -153,7 +158,9 @@
 		}
 		if err := d.give(now, vm, c); err != nil {
 			d.log.Info("owner unreachable", "job", c.job.ID, "owner", vm, "err", err)
-			d.table.Down(vm, now)
+			if !errors.Is(err, errUnheard) {
+				d.table.Down(vm, now)
+			}
 			continue
 		}
 		return
--- a/internal/task/lease/lease.go
+++ b/internal/task/lease/lease.go
@@ -83,7 +83,7 @@
 // Job is what runs are started for.
 type Job interface {
 	// By is when the job's runs must have ended, by what is known now; it never moves back.
-	By(now time.Time) time.Time
+	By() time.Time
 }
 
 // Listed is a running task in an endpoint's answer.
@@ -178,7 +178,7 @@
 	ask := e.limits.Lease()
 	for _, r := range e.Runs {
 		if r.Job != nil {
-			ask = min(ask, leaseWithin(r.Job.By(now).Sub(now)))
+			ask = min(ask, leaseWithin(r.Job.By().Sub(now)))
 		}
 	}
 	return ask
@@ -187,7 +187,7 @@
 // Leasable reports whether a job's run may begin here: no lease was asked for beyond it, and one that is asked for now
 // would last, which it doesn't while a run here must end soon.
 func (e *Endpoint) Leasable(now time.Time, j Job) bool {
-	return !e.lapse.After(j.By(now)) && 2*e.ask(now) >= e.limits.Lease()
+	return !e.lapse.After(j.By()) && 2*e.ask(now) >= e.limits.Lease()
 }
 
 // Started takes in the answer to a start; it reports false for a run that was over.
--- a/internal/task/lease/limits_test.go
+++ b/internal/task/lease/limits_test.go
@@ -30,7 +30,7 @@
 
 type until time.Time
 
-func (u *until) By(time.Time) time.Time { return time.Time(*u) }
+func (u *until) By() time.Time { return time.Time(*u) }
 
 // Guards against a lease that another run's renewal prolongs beyond a run that must end.
 func TestLeaseEndsBeforeAnyRunMust(t *testing.T) {
--- a/internal/task/owner/book.go
+++ b/internal/task/owner/book.go
@@ -159,7 +159,6 @@
 
 // finish gives a job its answer and stops what of it still runs.
 func (b *Book) finish(now time.Time, e *entry, a job.Answer) {
-	e.word = e.asked(now)
 	e.told, e.ended = true, now
 	b.cfg.Log.Info("job ended", "job", e.ID, "outcome", a.Outcome.String(), "reason", string(a.Reason), "detail", a.Detail,
 		"age", now.Sub(e.came).Round(time.Millisecond), "aim", e.aim.Sub(now).Round(time.Millisecond), "late", e.late, "starts", e.starts,
--- a/internal/task/owner/job.go
+++ b/internal/task/owner/job.go
@@ -35,29 +35,18 @@
 	slowest time.Duration
 	slowAt  string
 	ended   time.Time // when the job got its answer
-	// own says that this VM answers the caller. Else word is when the VM that does last asked for the
-	// job, at the earliest, by this VM's clock.
-	own    bool
-	word   time.Time
-	limits lease.Limits
-}
-
-// asked is when the VM that answers the caller last asked for the job.
-func (e *entry) asked(now time.Time) time.Time {
-	if e.own && !e.told {
-		return now
-	}
-	return e.word
+	word    time.Time // when the VM that answers the caller last asked for the job, by this VM's clock
+	limits  lease.Limits
 }
 
 // By implements lease.Job.
-func (e *entry) By(now time.Time) time.Time { return e.asked(now).Add(e.limits.Outlive()) }
+func (e *entry) By() time.Time { return e.word.Add(e.limits.Outlive()) }
 
 // fresh reports whether the job's tasks may be started.
-func (e *entry) fresh(now time.Time) bool { return now.Sub(e.asked(now)) <= e.limits.Fresh() }
+func (e *entry) fresh(now time.Time) bool { return now.Sub(e.word) <= e.limits.Fresh() }
 
 // doubted reports whether the VM that answers the caller was silent for so long that the job must end.
-func (e *entry) doubted(now time.Time) bool { return now.Sub(e.asked(now)) >= e.limits.Doubt() }
+func (e *entry) doubted(now time.Time) bool { return now.Sub(e.word) >= e.limits.Doubt() }
 
 type step struct {
 	waiting []int // tasks to start, last one first
@@ -68,13 +57,13 @@
 }
 
 func newEntry(now time.Time, key Key, j *batch.Job, work time.Duration, limits lease.Limits) *entry {
-	own, asked := j.Asked.IsZero(), j.Asked
-	if own || asked.After(now) {
+	asked := j.Asked
+	if asked.IsZero() || asked.After(now) {
 		asked = now
 	}
 	came := asked.Add(-j.Age)
 	e := &entry{
-		Job: j, key: key, came: came, due: asked.Add(j.Left), own: own, word: asked, limits: limits, steps: make([]step, len(j.Steps)), left: len(j.Steps),
+		Job: j, key: key, came: came, due: asked.Add(j.Left), word: asked, limits: limits, steps: make([]step, len(j.Steps)), left: len(j.Steps),
 		aim:  came.Add(j.Aim(work) - j.Waited),
 		runs: map[*lease.Run]*lease.Endpoint{},
 	}
--- a/internal/task/owner/take.go
+++ b/internal/task/owner/take.go
@@ -60,7 +60,7 @@
 	if b.cfg.Limits.Resend <= 0 { // nothing bounds them but the leases of all that runs beside them
 		return stopWait
 	}
-	return max(stopWait, e.By(now).Sub(now))
+	return max(stopWait, e.By().Sub(now))
 }
 
 func (b *Book) refuse(now time.Time, key Key, j *batch.Job, why job.Reason, retry time.Duration, detail string) {
--- a/internal/tool/grid/grid.go
+++ b/internal/tool/grid/grid.go
@@ -14,6 +14,7 @@
 	"dahliawinch/internal/base/meter"
 	"dahliawinch/internal/base/timer"
 	"dahliawinch/internal/conf/plan"
+	"dahliawinch/internal/edge/hangup"
 	"dahliawinch/internal/edge/serve"
 	"dahliawinch/internal/plat/fakes"
 	"dahliawinch/internal/task/job"
@@ -60,7 +61,7 @@
 }
 
 // Limits of the endpoints.
-var Limits = lease.Limits{Hold: time.Second, Stop: 50 * time.Millisecond, Resend: again, Notice: deadLook}
+var Limits = lease.Limits{Hold: time.Second, Stop: 50 * time.Millisecond, Resend: again, Notice: hangup.Notice}
 
 // Users are the users' deployments: 8 VMs, 48 endpoints of 64 or 96 cores, and three
 // kinds of job that fill 70 % of them at a load of 140 jobs per second.
