What answers a VM's former incarnation is not taken in by this one

On entry, a VM that was restarted could take an answer meant for its former incarnation for one to itself: a caller could be told what became of another one's ticket, and a task that a peer had started could be queued again and run twice at once.

Cause: both incarnations number their groups, jobs and calls from 1, and Took, Back and Reply named the numbers alone. The link drops what it keeps for a former incarnation, but what is cast once it is connected to the new one reaches that: a peer that was paused, or has worked for a second, answers then.

Change: these messages name the incarnation that they answer. Any other ignores them. A peer of code before this commit names none and is believed as before, so that an update VM by VM loses no work.

Why it holds: incarnations of a VM differ, and one numbers with one counter.

--- a/internal/mesh/frame/frame_test.go
+++ b/internal/mesh/frame/frame_test.go
@@ -17,10 +17,10 @@
 		&Hello{VM: at, Inc: 7, Domain: "perth-a"},
 		&Beat{At: time.Unix(1_700_000_000, 5), Room: Room{Free: 3, Urgent: 4}, Wait: time.Second, Gone: []netip.AddrPort{at}, Use: map[string]Use{"crew": {Rate: 2, Slots: 1}}},
 		&Give{At: time.Unix(1_700_000_000, 5), Group: 1, Tasks: []Task{{Job: 2, Tenant: "crew", Left: time.Second, Task: job.Task{Body: []byte("x")}}}},
-		&Took{Group: 1, N: 1},
-		&Back{Group: 1, Ended: []Ended{{Job: 2, Fate: Ran, Body: []byte("y")}}},
+		&Took{To: 3, Group: 1, N: 1},
+		&Back{To: 3, Group: 1, Ended: []Ended{{Job: 2, Fate: Ran, Body: []byte("y")}}},
 		&Submit{Call: 1, Req: job.Request{Tenant: "crew", Tasks: []job.Task{{Body: []byte("z")}}}},
-		&Reply{Call: 1, Answer: job.Answer{Outcome: job.Done, Results: [][]byte{[]byte("r")}}},
+		&Reply{To: 3, Call: 1, Answer: job.Answer{Outcome: job.Done, Results: [][]byte{[]byte("r")}}},
 		&Told{To: 3, Call: 1, Answer: job.Answer{Outcome: job.Done}},
 		&Have{}, &Want{}, &Keep{To: 3, Asked: time.Unix(1_700_000_000, 5), Calls: []uint64{1, 2}},
 	}
--- a/internal/mesh/frame/msg.go
+++ b/internal/mesh/frame/msg.go
@@ -145,6 +145,7 @@
 // Took says how many tasks of a group were taken, from its head; the others did
 // not start.
 type Took struct {
+	To    uint64 `msgpack:"b"` // the incarnation that gave the group
 	Group uint64 `msgpack:"g"`
 	N     int    `msgpack:"n"`
 	Room  Room   `msgpack:"f"`
@@ -172,6 +173,7 @@
 
 // Back brings ended tasks of a group home.
 type Back struct {
+	To    uint64  `msgpack:"b"` // the incarnation that gave the group
 	Group uint64  `msgpack:"g"`
 	Ended []Ended `msgpack:"e"`
 	Room  Room    `msgpack:"f"`
@@ -187,6 +189,7 @@
 
 // Reply answers a Submit.
 type Reply struct {
+	To     uint64     `msgpack:"b"` // the incarnation that handed it over
 	Call   uint64     `msgpack:"c"`
 	Answer job.Answer `msgpack:"a"`
 }
--- a/internal/task/flow/handoff.go
+++ b/internal/task/flow/handoff.go
@@ -306,7 +306,7 @@
 	n.wg.Go(func() {
 		defer n.active.Add(-1)
 		a := n.serve(s)
-		if err := n.parts.Mesh.Cast(from.VM, &frame.Reply{Call: s.Call, Answer: *a}); err != nil {
+		if err := n.parts.Mesh.Cast(from.VM, &frame.Reply{To: from.Inc, Call: s.Call, Answer: *a}); err != nil {
 			n.parts.Log.Warn("no way back", "to", from.VM, "msg", "reply", "err", err)
 		}
 	})
--- a/internal/task/flow/peertask.go
+++ b/internal/task/flow/peertask.go
@@ -20,6 +20,7 @@
 // one message: the giver can't answer before the last of them anyway.
 type batch struct {
 	to    netip.AddrPort
+	inc   uint64
 	group uint64
 	open  int
 	ended []frame.Ended
@@ -33,7 +34,7 @@
 		took = n.takeIn(from, g, now)
 	}
 	if took < len(g.Tasks) { // silence means that all were taken
-		n.reply(from.VM, &frame.Took{Group: g.Group, N: took, Room: n.room(n.now())})
+		n.reply(from.VM, &frame.Took{To: from.Inc, Group: g.Group, N: took, Room: n.room(n.now())})
 	}
 }
 
@@ -56,7 +57,7 @@
 		}
 		b := batches[t.Job]
 		if b == nil {
-			b = &batch{to: from.VM, group: g.Group}
+			b = &batch{to: from.VM, inc: from.Inc, group: g.Group}
 			batches[t.Job] = b
 		}
 		b.open++
@@ -93,7 +94,7 @@
 	}
 	t.n.peerMu.Unlock()
 	if len(send) > 0 {
-		t.n.reply(b.to, &frame.Back{Group: b.group, Ended: send, Room: t.n.room(t.n.now())})
+		t.n.reply(b.to, &frame.Back{To: b.inc, Group: b.group, Ended: send, Room: t.n.room(t.n.now())})
 	}
 }
 
--- a/internal/task/flow/receive.go
+++ b/internal/task/flow/receive.go
@@ -10,7 +10,7 @@
 // Receive takes in a message of one incarnation of a peer. Messages of one peer
 // come in order and one at a time.
 func (n *Node) Receive(from frame.Hello, m frame.Msg) {
-	if n.ctx.Err() != nil {
+	if n.ctx.Err() != nil || n.stray(m) {
 		return
 	}
 	switch m := m.(type) {
@@ -33,6 +33,20 @@
 	}
 }
 
+// stray reports whether a message answers one of a former incarnation, which used the same numbers.
+func (n *Node) stray(m frame.Msg) bool {
+	to := n.cfg.Inc
+	switch m := m.(type) {
+	case *frame.Took:
+		to = m.To
+	case *frame.Back:
+		to = m.To
+	case *frame.Reply:
+		to = m.To
+	}
+	return to != n.cfg.Inc && to != 0 // versions before this field name none
+}
+
 func (n *Node) receiveBeat(from frame.Hello, b *frame.Beat) {
 	now := n.now()
 	was := n.view.Find(from.VM)
