A pause of this VM does not hide what clocks drift in it

After a pause this VM could tell an owner that it asked for its jobs later than it did, by up to 1 ms for each second of the pause, and went on doing so: the jobs' runs outlived the bound by as much.

Cause: Resume forgives the silence of the pause by setting when a member was heard to now. The allowance for drift between two clocks (Theirs, and the least skew that is kept) is reckoned from that same time, so that none was made.

Change: Resume adds the allowance of the pause to the skew.

Why it holds: skew plus drift since it was read is what the clocks are apart at most, which is all that Theirs goes by; the next heartbeat lowers it again.

Failing before, a pause of a minute and clocks that drift 0.9 ms a second: go test ./internal/mesh/view -run PauseDoesNot clock_test.go:50: not true: !v.Find(vm).Theirs(ours).After(theirs)

--- a/internal/mesh/view/clock_test.go
+++ b/internal/mesh/view/clock_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
 	"dahliawinch/internal/mesh/frame"
@@ -35,3 +36,18 @@
 		}
 	})
 }
+
+// Guards against a word that counts as newer than it is since this VM was paused: clocks drift meanwhile, though the
+// silence is forgiven.
+func TestPauseDoesNotHideDriftOfClocks(t *testing.T) {
+	is := is.New(t)
+	vm, t0 := netip.MustParseAddrPort("127.0.0.2:1"), time.Unix(1_700_000_000, 0)
+	const pause = time.Minute
+	v := New(netip.MustParseAddrPort("127.0.0.1:1"), "a", t0)
+	v.Hear(t0, frame.Hello{VM: vm, Inc: 1, Domain: "a"}, &frame.Beat{At: t0})
+	ours, theirs := t0.Add(pause), t0.Add(pause-drifts(pause)*9/10)
+	v.Resume(ours)
+	is.True(!v.Find(vm).Theirs(ours).After(theirs))
+	v.Hear(ours, frame.Hello{VM: vm, Inc: 1, Domain: "a"}, &frame.Beat{At: theirs})
+	is.True(!v.Find(vm).Theirs(ours).After(theirs))
+}
--- a/internal/mesh/view/view.go
+++ b/internal/mesh/view/view.go
@@ -284,6 +284,7 @@
 	defer v.mu.Unlock()
 	for vm, m := range v.all {
 		c := *m
+		c.Skew += drifts(now.Sub(c.Heard))
 		c.Heard = now
 		v.all[vm] = &c
 	}
