A job of a caller who has left is not handed on

A job that waited for an owner, or was refused by one, went to the next without a look whether its caller was still there, on a word of that moment. Before: go test ./internal/edge/serve -run LeftIsNotHandedOn: 2 != 1 hand-overs. It passes now.

--- a/internal/edge/serve/submit.go
+++ b/internal/edge/serve/submit.go
@@ -62,7 +62,7 @@
 	}
 	if ctx.Err() != nil {
 		d.log.Info("request dropped", "job", j.ID, "queue", j.Queue, "why", "its caller has left")
-		return job.Answer{Outcome: job.Unknown, Reason: job.Canceled, Detail: "its caller left"}
+		return callerLeft
 	}
 	c := &call{n: d.serial.Add(1), job: j, came: now, due: now.Add(j.Left), timeout: timeout, open: s.Open, done: make(chan struct{})}
 	for i := range j.Steps {
@@ -88,7 +88,7 @@
 	select {
 	case <-c.done:
 	case <-ctx.Done():
-		d.quit(c, job.Answer{Outcome: job.Unknown, Reason: job.Canceled, Detail: "its caller left"})
+		d.quit(c, callerLeft)
 	case <-t.C:
 		d.quit(c, job.Answer{Outcome: job.Unknown, Reason: job.Deadline, Detail: "its time ran out"})
 	}
@@ -97,6 +97,9 @@
 	return c.a
 }
 
+// callerLeft is the answer to a caller who is not there to read it.
+var callerLeft = job.Answer{Outcome: job.Unknown, Reason: job.Canceled, Detail: "its caller left"}
+
 // noteWait finds out whether a caller has waited elsewhere; the caller holds the lock. Whoever
 // comes for the first time waits longer than a queue's declared time and a job's objective.
 func (d *Node) noteWait(c *call) {
@@ -147,6 +150,10 @@
 // send gives a call to the best owner that it was not given to yet, or ends it. The
 // caller holds the lock.
 func (d *Node) send(now time.Time, c *call) {
+	if c.left() {
+		d.end(c, callerLeft)
+		return
+	}
 	for len(c.tried) < route.Tries {
 		vm := d.table.Pick(now, c.job.Rank, c.cores, c.tried, d.pace.Usual())
 		if !vm.IsValid() {
