A claim whose fence is too low is made anew if no other VM's is heard

A failure domain could stay without an owner for good: its only VM, or all of them, were started with the time of day behind that of a former owner. Its endpoints refused every order, and jobs went to other domains or were refused.

Cause: fences start from the time of day, and a VM raises its own when it is refused, for its next claim. In its own failure domain it waits to be told of the claim that goes before its own. If who made that is gone, or is not linked to this VM, no word comes, and it takes the endpoints over again and again under the same fence.

Change: when a claim was refused for a second and no higher one was heard of (several heartbeats), it is dropped as one of another domain's groups is, with the same growing rest, and made anew with the raised fence.

Why it holds: an owner in the domain that lives and is heard is heard within a second, and its higher claim ends this one before; one that isn't heard meets the same rule, so that the two do not take the group by turns.

--- /dev/null
+++ b/internal/edge/serve/fence_test.go
@@ -0,0 +1,42 @@
+package serve
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"dahliawinch/internal/conf/plan"
+	"dahliawinch/internal/mesh/view"
+	"dahliawinch/internal/plat/agent"
+	"dahliawinch/internal/task/lease"
+)
+
+// Guards against a failure domain that nobody serves since its only VM was started with its clock behind: the
+// endpoints obey the higher fence of a VM that is gone.
+func TestVMWithItsClockBehindRaisesItsFence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := started(t)
+		n.plan.Store(&plan.Plan{Version: 1, Queues: []plan.Queue{{Name: "q", Pool: "p"}}})
+		n.applyRoster(nil, true)
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		n.roster.put(lease.Info{ID: "e", Domain: "a", Pool: "p"})
+		time.Sleep(time.Second)
+		n.decide(n.now())
+		low := n.book.Find("e").Fence
+		for range 100 { // ten seconds of heartbeats
+			time.Sleep(view.Period)
+			if ep := n.book.Find("e"); ep != nil && ep.Fence == low {
+				n.book.Lose(n.now(), "e", false, "it refused a renewal: "+agent.Fenced.String())
+				n.denied(agent.Fenced, ep, low)
+			}
+			n.decide(n.now())
+		}
+		ep := n.book.Find("e")
+		is.True(ep != nil)
+		is.True(ep.Fence > low)
+	})
+}
--- a/internal/edge/serve/node.go
+++ b/internal/edge/serve/node.go
@@ -124,6 +124,7 @@
 	probing   map[claim.Group]bool
 	heard     []claim.Peer              // filled anew for each round of claims
 	blind     map[claim.Group]time.Time // when an owned group was last seen to answer
+	refused   map[claim.Group]refusal   // claims of the own domain whose fence proved too low
 	strain    view.Strain
 	strained  bool          // this VM's messages reach the others late
 	delay     time.Duration // by so much
@@ -140,7 +141,7 @@
 	d := &Node{
 		cfg: cfg, parts: parts, log: parts.Log, began: now, named: make(chan struct{}), calls: map[uint64]*call{}, byID: map[string]*call{},
 		roster: newRoster(perOwner(cfg.Link)), unsure: map[string]time.Time{}, cordons: map[string]bool{}, since: map[netip.AddrPort]time.Time{},
-		wakes: map[string]chan struct{}{}, table: route.New(cfg.VM), reached: map[claim.Group]reached{}, probing: map[claim.Group]bool{}, blind: map[claim.Group]time.Time{},
+		wakes: map[string]chan struct{}{}, table: route.New(cfg.VM), reached: map[claim.Group]reached{}, probing: map[claim.Group]bool{}, blind: map[claim.Group]time.Time{}, refused: map[claim.Group]refusal{},
 		pace: pace.New(orderLeast, orderMost), unowned: true,
 		view: view.New(cfg.VM, cfg.Domain, now), claims: claim.New(cfg.VM, cfg.Domain, cfg.Power, now),
 	}
--- a/internal/edge/serve/own.go
+++ b/internal/edge/serve/own.go
@@ -233,8 +233,8 @@
 
 // denied takes in that an endpoint obeys another VM, or that another life answers at its
 // address; the caller holds the lock. An owner of the own domain hears of the other's claim, unless
-// it is isolated; one of another domain's group may not be linked to it, and would fight for the group
-// without end.
+// it is isolated or there is none, as when this VM's clock is behind; one of another domain's group may
+// not be linked to it, and would fight for the group without end.
 func (d *Node) denied(why agent.Refusal, ep *lease.Endpoint, fence uint64) {
 	if why == agent.Dead {
 		d.roster.bury(ep.ID)
@@ -244,15 +244,38 @@
 	}
 	d.claims.Raise(fence)
 	g := groupOf(ep.Info)
-	if o := d.claims.Owns(g); (g.Domain == d.cfg.Domain && !d.isolated) || o == nil || o.Giving {
+	o, now := d.claims.Owns(g), d.now()
+	if o == nil || o.Giving || (g.Domain == d.cfg.Domain && !d.isolated && !d.outranked(now, g, o, fence)) {
 		return
 	}
-	now := d.now()
 	rest := d.claims.Shun(now, g)
 	d.log.Info("group dropped", "group", g, "why", "another VM has a higher fence", "rest", rest)
 	d.letGo(now, g, "another VM owns its group")
 }
 
+// outrankFor is how long the fence of a claim is refused until the claim of another VM should have been heard.
+const outrankFor = time.Second
+
+// refusal is the fence of a claim that endpoints refuse.
+type refusal struct {
+	fence uint64
+	since time.Time
+}
+
+// outranked reports whether endpoints have refused a claim's fence for so long that nobody is heard who has a
+// higher one; the caller holds the lock.
+func (d *Node) outranked(now time.Time, g claim.Group, o *claim.Own, fence uint64) bool {
+	if fence != o.Fence {
+		return false
+	}
+	r := d.refused[g]
+	if r.fence != fence {
+		r = refusal{fence, now}
+		d.refused[g] = r
+	}
+	return now.Sub(r.since) >= outrankFor
+}
+
 // claimed are this VM's claims as its heartbeat tells them.
 func (d *Node) claimed() (cs []frame.Claim) {
 	for _, g := range d.claims.Groups() {
