Work is not begun for a caller that left before its request was read

A caller could have a task run twice at once after its VM was paused: its request waited in the kernel, it closed the connection and submitted the job again to another VM; the first VM woke, read the request and began the job.

Cause: a connection is looked at 50 ms after its request was begun. That the caller is there until then was taken for granted. A stale copy also dropped a newer call of the same job.

Change: hangup.Watch looks at once as well, and Submit begins nothing, and drops nothing, for a caller that is gone.

Why it holds: what was closed before the request is begun is seen in the state of the connection; what is closed later is noticed within hangup.Notice while the VM runs. A caller that closes its own half after its request, and still waits, was given up after 50 ms before and is at once now.

--- a/internal/edge/hangup/hangup.go
+++ b/internal/edge/hangup/hangup.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	// patient is how long a request runs before its connection is looked at.
+	// patient is how long a request runs before its connection is looked at again.
 	patient = 50 * time.Millisecond
 	// lookEvery is the time between two looks.
 	lookEvery = 100 * time.Millisecond
@@ -21,7 +21,7 @@
 )
 
 // Watch calls fn when the caller closes its connection while its request is
-// being worked on. The HTTP library reads nothing meanwhile, so waiting work
+// being worked on, at once if it did so before. The HTTP library reads nothing meanwhile, so waiting work
 // would keep its place in the queue for a caller that is gone.
 func Watch(c net.Conn, fn func()) (stop func()) {
 	if t, ok := c.(*tls.Conn); ok {
@@ -35,6 +35,10 @@
 	if err != nil {
 		return func() {}
 	}
+	if hungUp(sys) { // the request waited here while the VM was paused
+		fn()
+		return func() {}
+	}
 	w := &watch{conn: sys, fn: fn}
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/edge/serve/again_test.go
+++ b/internal/edge/serve/again_test.go
@@ -135,3 +135,16 @@
 		is.True(r.mesh.to[2] != r.mesh.to[0])
 	})
 }
+
+// Guards against a start for a caller that left before its request was read, and may have come again elsewhere.
+func TestJobOfACallerThatHasLeftIsNotStarted(t *testing.T) {
+	playRepeated(t, func(is *is.I, r *repeated) {
+		ctx, cancel := context.WithCancel(r.ctx)
+		cancel()
+		r.ctx = ctx
+		a := <-r.submit()
+		is.Equal(a.Reason, job.Canceled)
+		is.Equal(len(r.mesh.to), 1)
+		is.Equal(len(r.calls), 1) // the former call goes on
+	})
+}
--- a/internal/edge/serve/submit.go
+++ b/internal/edge/serve/submit.go
@@ -59,6 +59,9 @@
 		d.log.Info("request refused", "host", s.Host, "path", s.Path, "reason", string(refusal.Reason), "detail", refusal.Detail)
 		return *refusal
 	}
+	if ctx.Err() != nil {
+		return *job.Refuse(job.Canceled, 0, "its caller left before it was begun")
+	}
 	c := &call{n: d.serial.Add(1), job: j, came: now, due: now.Add(j.Left), timeout: timeout, done: make(chan struct{})}
 	for i := range j.Steps {
 		c.cores = max(c.cores, float64(j.Steps[i].Count)*j.Steps[i].Need.Cores)
