--- a/internal/edge/hangup/hangup.go
+++ b/internal/edge/hangup/hangup.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	// patient is how long a request runs before its connection is looked at.
+	// patient is how long a request runs before its connection is looked at again.
 	patient = 50 * time.Millisecond
 	// lookEvery is the time between two looks.
 	lookEvery = 100 * time.Millisecond
@@ -47,7 +47,7 @@
 	if !ok {
 		return func() {}
 	}
-	if hungUp(sys) {
+	if hungUp(sys) { // the request waited here while the VM was paused
 		fn()
 		return func() {}
 	}
