Scene: messages between VMs that come seconds late start nothing twice

The bound does not rest on time there: a task that was given is an attempt that is open until its peer says what became of it, and counts as unknown when the peer is gone or its job's time is over.

--- a/internal/tool/scene/fault.go
+++ b/internal/tool/scene/fault.go
@@ -38,6 +38,9 @@
 	v.closed.Store(true)
 }
 
+// Late makes a VM's messages to other VMs come so much later.
+func (s *Scene) Late(v *VM, by time.Duration) { v.late.Store(int64(by)) }
+
 // Replace lets a VM leave gracefully and boots a new one at its address; the
 // balancer notices each a second later.
 func (s *Scene) Replace(v *VM) error {
--- a/internal/tool/scene/net.go
+++ b/internal/tool/scene/net.go
@@ -204,7 +204,7 @@
 		d = within
 	}
 	p.from.sent.Add(1)
-	if !l.lane.Put(d, m) {
+	if !l.lane.Put(d+time.Duration(p.from.late.Load()), m) {
 		return flow.ErrNoLink
 	}
 	return nil
@@ -234,6 +234,7 @@
 	closed atomic.Bool // the balancer sends nothing more
 	tasks  atomic.Int64
 	sent   atomic.Int64
+	late   atomic.Int64 // nanoseconds that its messages to other VMs take longer
 }
 
 // Rev is the revision in force on the VM.
