--- a/internal/tool/grid/fault.go
+++ b/internal/tool/grid/fault.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"strings"
 	"time"
@@ -9,12 +10,14 @@
 	"dahliawinch/internal/plat/fakes"
 )
 
-// menu is what may go wrong at any moment, together or twice; each entry makes one
-// fault of its own randomness.
-var menu = []struct {
+// entry makes one kind of fault of its own randomness.
+type entry struct {
 	name string
 	make func(r *rand.Rand) func(*Grid)
-}{
+}
+
+// menu is what may go wrong at any moment, together or twice.
+var menu = []entry{
 	{"kill", func(r *rand.Rand) func(*Grid) {
 		n, down := r.IntN(8), time.Duration(r.IntN(3000))*time.Millisecond
 		return func(g *Grid) {
@@ -127,6 +130,37 @@
 	}},
 }
 
+// slowMenu is what may go wrong on deployments whose links are bounded: VMs that are late before they are lost.
+var slowMenu = []entry{
+	{"narrow", func(r *rand.Rand) func(*Grid) { return narrowing(r, func(*Grid, *VM) {}) }},
+	{"narrow and kill", func(r *rand.Rand) func(*Grid) {
+		down := time.Duration(r.IntN(3000)) * time.Millisecond
+		return narrowing(r, func(g *Grid, v *VM) {
+			if !v.dead.Load() {
+				g.Restart(v, down)
+			}
+		})
+	}},
+	{"narrow and pause", func(r *rand.Rand) func(*Grid) {
+		d := time.Duration(300+r.IntN(3000)) * time.Millisecond
+		return narrowing(r, func(g *Grid, v *VM) { g.Pause(v, d) })
+	}},
+}
+
+// narrowing lets a VM's link carry 5 to 1,000 times less for a while, and does something to the VM meanwhile.
+func narrowing(r *rand.Rand, then func(*Grid, *VM)) func(*Grid) {
+	n, times := r.IntN(8), int(5*math.Pow(200, r.Float64()))
+	before, after := time.Duration(r.IntN(2500))*time.Millisecond, time.Duration(500+r.IntN(2000))*time.Millisecond
+	return func(g *Grid) {
+		v := g.VM(n)
+		v.up.narrow(times)
+		time.Sleep(before)
+		then(g, v)
+		time.Sleep(after)
+		v.up.widen(g.Link)
+	}
+}
+
 // cordonLate is when a cordon is in force everywhere whatever else goes wrong: the store may be away
 // for six seconds, a VM paused for five.
 const cordonLate = 9 * time.Second
@@ -153,9 +187,21 @@
 // Random draws a sequence of faults from a seed; the names tell what it was.
 func Random(seed uint64, span time.Duration) (faults []Fault, names string) {
 	r := rand.New(rand.NewPCG(seed, 4242))
+	return drawn(r, menu, 2+r.IntN(4), span)
+}
+
+// RandomSlow draws what Random does and some faults of links.
+func RandomSlow(seed uint64, span time.Duration) (faults []Fault, names string) {
+	faults, names = Random(seed, span)
+	r := rand.New(rand.NewPCG(seed, 4243))
+	slow, more := drawn(r, slowMenu, 1+r.IntN(4), span)
+	return append(faults, slow...), names + more
+}
+
+func drawn(r *rand.Rand, from []entry, n int, span time.Duration) (faults []Fault, names string) {
 	var b strings.Builder
-	for range 2 + r.IntN(4) {
-		m := menu[r.IntN(len(menu))]
+	for range n {
+		m := from[r.IntN(len(from))]
 		at := 2*time.Second + time.Duration(r.Int64N(int64(span)))
 		faults = append(faults, Fault{At: at, Do: m.make(r)})
 		fmt.Fprintf(&b, "%s at %s; ", m.name, at.Round(time.Millisecond))
--- a/internal/tool/grid/narrow.go
+++ b/internal/tool/grid/narrow.go
@@ -50,5 +50,12 @@
 func (u *uplink) narrow(times int) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.rate /= times
+	u.rate = max(1, u.rate/times)
+}
+
+// widen bounds the link anew; what is on its way comes no sooner.
+func (u *uplink) widen(rate int) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.rate, u.free = rate, time.Time{}
 }
