Soak: callers insist, tasks run for seconds, faults come in series and overlap

Change: callers submit again 1.3 s after each broken connection or unknown outcome, up to three times, each time at another VM, over connections that are kept until the process is gone; one job of three has tasks of 1 to 3 s. A third player, strike, plays series that overlap with each other and with the rest: a VM paused three times while another is killed, two paused, one stopped, paused, and killed while another's settings change, endpoints behind a slow link that carry out orders late. Each daemon has a store proxy of its own, so that one can lose it alone; proxies have a mode 'slow' whose connections share 20 kB/s. Restarts of a VM wait for each other and until it takes callers; settings are not changed meanwhile. Eight VMs of four domains and 40 jobs a second are the default, endpoints have three times the room. Faults are told with their time.

--- a/internal/tool/soak/fault.go
+++ b/internal/tool/soak/fault.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"maps"
+	"net"
 	"syscall"
 	"time"
 
@@ -20,7 +21,7 @@
 		case <-time.After(wait):
 		}
 		name, do := s.draw()
-		s.faults = append(s.faults, name)
+		s.note(name)
 		do()
 		if s.declares.IntN(4) == 0 {
 			s.declare(s.vms[s.declares.IntN(len(s.vms))])
@@ -28,6 +29,13 @@
 	}
 }
 
+// note adds to the list of what was played.
+func (s *Soak) note(what string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = append(s.faults, fmt.Sprintf("%.1fs %s", time.Since(s.began).Seconds(), what))
+}
+
 // declare changes a VM's settings while it runs: other seeds, or a file that must not be
 // taken over. It is told by a signal, or finds out by itself.
 func (s *Soak) declare(v *vm) {
@@ -41,12 +49,28 @@
 		set["seeds"] = v.set["ready"] // nobody speaks there as a VM
 	default:
 		name = "good"
-		set["seeds"] = fmt.Sprint(s.vms[0].set["mesh"], ",", s.vms[len(s.vms)-1].set["mesh"])
+		set["seeds"] = s.ends()
 	}
 	hup := s.declares.IntN(2) == 0
-	s.faults = append(s.faults, fmt.Sprintf("%s settings for vm %d, told %t", name, v.n, hup))
+	s.note(fmt.Sprintf("%s settings for vm %d, told %t", name, v.n, hup))
+	s.change(v, set, hup)
+}
+
+// ends are the first VM and the last, as seeds.
+func (s *Soak) ends() string {
+	return fmt.Sprint(s.vms[0].set["mesh"], ",", s.vms[len(s.vms)-1].set["mesh"])
+}
+
+// change lets other settings stand for a while, unless the VM is restarted just now: it must find some
+// that it can begin with.
+func (s *Soak) change(v *vm, set map[string]any, hup bool) {
+	if !v.life.TryLock() {
+		s.note(fmt.Sprintf("vm %d is restarted, not changed", v.n))
+		return
+	}
+	defer v.life.Unlock()
 	if err := v.write(set); err != nil {
-		s.faults = append(s.faults, err.Error())
+		s.note(err.Error())
 	}
 	if hup {
 		s.signal(v, syscall.SIGHUP)
@@ -93,8 +117,9 @@
 		m := []mode{delay, silent, refuse}[s.r.IntN(3)]
 		return fmt.Sprintf("store proxy %d for %s", m, d), func() {
 			s.postpone(d)
-			s.vault.set(m)
-			time.AfterFunc(d, func() { s.vault.set(pass) })
+			for _, v := range s.vms {
+				v.lose(m, d)
+			}
 		}
 	case 6:
 		m := []fakes.Manners{{Late: 0.2, Delay: d}, {Mute: true}, {Hang: true}, {Fail: true}, {Slow: 5}}[s.r.IntN(5)]
@@ -119,6 +144,8 @@
 
 // restart ends a daemon and starts it again once its process is gone.
 func (s *Soak) restart(v *vm, sig syscall.Signal, down time.Duration) {
+	v.life.Lock()
+	defer v.life.Unlock()
 	s.mu.Lock()
 	ended := v.ended
 	s.mu.Unlock()
@@ -136,8 +163,24 @@
 		err = s.start(v)
 	}
 	if err != nil {
-		s.faults = append(s.faults, err.Error())
+		s.note(err.Error())
+		return
 	}
+	s.up(v)
+}
+
+// upWithin is how long a restart waits for the daemon, which has read its settings then.
+const upWithin = 2 * time.Second
+
+// up waits until a daemon that was started takes callers.
+func (s *Soak) up(v *vm) {
+	for until := time.Now().Add(upWithin); time.Now().Before(until); time.Sleep(20 * time.Millisecond) {
+		if c, err := net.DialTimeout("tcp", v.callers.String(), upWithin); err == nil {
+			_ = c.Close()
+			return
+		}
+	}
+	s.note(fmt.Sprintf("vm %d takes no callers %s after its start", v.n, upWithin))
 }
 
 // calm undoes all faults.
@@ -148,7 +191,9 @@
 	}
 	s.store.Down(false)
 	s.store.Lose(false)
-	s.vault.set(pass)
+	for _, v := range s.vms {
+		v.vault.set(pass)
+	}
 	for i := range s.eps {
 		s.ep(i).Set(fakes.Manners{})
 		s.doors[i].set(pass)
--- a/internal/tool/soak/load.go
+++ b/internal/tool/soak/load.go
@@ -16,14 +16,18 @@
 )
 
 const (
-	// patience is how long callers wait for an answer.
+	// patience is how long callers wait for an answer beyond twice the time that tasks take.
 	patience = 2500 * time.Millisecond
-	// again is how long after a broken connection a caller submits its job once more.
+	// again is how long after a broken connection or an unknown outcome a caller submits its job once more.
 	again = 1300 * time.Millisecond
+	// longOf is of how many jobs one has tasks of seconds.
+	longOf = 3
+	// mostConns is how many jobs a VM may have from callers.
+	mostConns = 1 << 14
 	// guiltyOf is of how many jobs one has a task that crashes what starts it.
 	guiltyOf = 100
-	// tries is how often it does.
-	tries = 2
+	// tries is how often it submits a job at most.
+	tries = 4
 )
 
 // load submits jobs until ctx ends; callers keep their connections.
@@ -31,11 +35,14 @@
 	r := rand.New(rand.NewPCG(s.Seed, 7))
 	clients := make([]*fasthttp.HostClient, len(s.vms))
 	for i, v := range s.vms {
-		clients[i] = &fasthttp.HostClient{Addr: v.callers.String(), MaxIdemponentCallAttempts: 1}
+		clients[i] = &fasthttp.HostClient{Addr: v.callers.String(), MaxConns: mostConns, MaxIdemponentCallAttempts: 1}
 	}
 	for n := 1; ctx.Err() == nil; n++ {
 		id := fmt.Sprintf("%08x%08x", s.Seed, n)
 		tasks, run := 1+r.IntN(6), time.Duration(30+r.IntN(600))*time.Millisecond
+		if s.longs.IntN(longOf) == 0 {
+			tasks, run = 1+s.longs.IntN(2), time.Duration(1000+s.longs.IntN(2000))*time.Millisecond
+		}
 		cores := 10 + 20*r.Float64()
 		guilty := s.guilt.IntN(guiltyOf) == 0
 		for i := range tasks {
@@ -43,17 +50,19 @@
 		}
 		prefix := []string{"/u/", "/p/"}[r.IntN(2)]
 		first := r.IntN(len(clients))
-		wg.Go(func() { s.submit(clients, first, prefix+id, id, tasks, stand.Job("x", tasks, cores, run)) })
+		wg.Go(func() {
+			s.submit(clients, first, prefix+id, id, tasks, patience+2*run, stand.Job("x", tasks, cores, run))
+		})
 		time.Sleep(time.Duration(r.ExpFloat64() / s.Rate * float64(time.Second)))
 	}
 }
 
 // submit plays one caller: after a broken connection or an unknown outcome it submits
 // the same job again at another VM.
-func (s *Soak) submit(clients []*fasthttp.HostClient, first int, path, id string, tasks int, body []byte) {
+func (s *Soak) submit(clients []*fasthttp.HostClient, first int, path, id string, tasks int, wait time.Duration, body []byte) {
 	a := job.Answer{Outcome: job.Refused}
 	for t := range tries {
-		out := stand.Submit(clients[(first+t)%len(clients)], host, path, body, patience)
+		out := stand.Submit(clients[(first+t)%len(clients)], host, path, body, wait)
 		if out != job.Refused {
 			a.Outcome = out // refused only if all tries were
 		}
--- a/internal/tool/soak/proxy.go
+++ b/internal/tool/soak/proxy.go
@@ -6,6 +6,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"dahliawinch/internal/base/timer"
 )
 
 // mode is what a proxy does to its connections.
@@ -16,18 +18,27 @@
 	delay
 	silent // bytes go nowhere, connections stay open
 	refuse // open connections are reset, new ones too
+	slow   // all connections share slowRate
 )
 
 // lag is what a delaying proxy adds to each piece.
 const lag = 40 * time.Millisecond
 
-// proxy stands between the daemons and one endpoint or store.
+const (
+	// slowRate is what a slow proxy carries, in bytes a second: some 40 orders.
+	slowRate = 20_000
+	// piece is what it sends at a time.
+	piece = 512
+)
+
+// proxy stands between the daemons and one endpoint, or between one of them and the store.
 type proxy struct {
 	l  net.Listener
 	to string
 
 	mu    sync.Mutex
 	mode  mode
+	free  time.Time // when a slow proxy has sent what came before
 	conns map[net.Conn]bool
 }
 
@@ -44,7 +55,7 @@
 func (p *proxy) set(m mode) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.mode = m
+	p.mode, p.free = m, time.Time{}
 	if m == refuse {
 		for c := range p.conns {
 			_ = c.Close()
@@ -97,20 +108,39 @@
 	buf := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buf)
+		if p.send(to, buf[:n]) != nil || err != nil {
+			return
+		}
+	}
+}
+
+// send writes what was read, as the mode allows.
+func (p *proxy) send(to net.Conn, b []byte) error {
+	for len(b) > 0 {
+		n := len(b)
 		switch p.now() {
 		case silent:
-			n = 0
+			return nil
 		case delay:
 			time.Sleep(lag)
+		case slow:
+			n = min(n, piece)
+			time.Sleep(p.turn(n))
 		default:
 		}
-		if n > 0 {
-			if _, err := to.Write(buf[:n]); err != nil {
-				return
-			}
-		}
-		if err != nil {
-			return
+		if _, err := to.Write(b[:n]); err != nil {
+			return err //nolint:wrapcheck // it ends the connection, no more
 		}
+		b = b[n:]
 	}
+	return nil
+}
+
+// turn is how long a piece waits for those of all connections before it.
+func (p *proxy) turn(n int) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	p.free = timer.Later(p.free, now).Add(time.Duration(n) * time.Second / slowRate)
+	return p.free.Sub(now)
 }
--- a/internal/tool/soak/soak.go
+++ b/internal/tool/soak/soak.go
@@ -29,6 +29,7 @@
 	Binary    string // the program that runs daemons
 	Dir       string // for settings and logs
 	Seed      uint64
+	Domains   int
 	VMs       int
 	Endpoints int
 	Rate      float64 // jobs per second
@@ -60,16 +61,17 @@
 	r     *rand.Rand // of the faults, one goroutine
 	// declares is of the settings, so that a seed's other faults stay what they were.
 	declares *rand.Rand
-	// harasses is of what harass plays, troubles what it has played, and guilt of the jobs that crash
-	// their endpoints.
+	// harasses is of what harass plays, and guilt of the jobs that crash their endpoints.
 	harasses, guilt *rand.Rand
-	troubles        []string
+	// strikes is of what strike plays, longs of the jobs with tasks of seconds.
+	strikes, longs *rand.Rand
+
+	began time.Time
 
 	mu     sync.Mutex
 	vms    []*vm
 	eps    []*fakes.Leased
 	doors  []*proxy  // before each endpoint
-	vault  *proxy    // before the store
 	lives  int       // of endpoints that were reborn
 	shut   []string  // endpoints that are cordoned,
 	force  time.Time // and from when on a VM in touch may know
@@ -85,6 +87,9 @@
 	callers  netip.AddrPort
 	settings string
 	set      map[string]any // what stands there
+	vault    *proxy         // between it and the store
+	life     sync.Mutex     // held while it is restarted
+	file     sync.Mutex     // held while settings are written
 	cmd      *exec.Cmd
 	log      *os.File
 	ended    chan struct{}
@@ -92,22 +97,24 @@
 
 // Run plays one seed.
 func Run(ctx context.Context, o Options) (Report, error) {
-	s := &Soak{Options: o, judge: grid.NewJudge(), store: stand.NewStore(), r: rand.New(rand.NewPCG(o.Seed, 31)), declares: rand.New(rand.NewPCG(o.Seed, 32)), harasses: rand.New(rand.NewPCG(o.Seed, 33)), guilt: rand.New(rand.NewPCG(o.Seed, 34)), told: map[job.Outcome]int{}}
+	s := &Soak{Options: o, judge: grid.NewJudge(), store: stand.NewStore(), r: rand.New(rand.NewPCG(o.Seed, 31)), declares: rand.New(rand.NewPCG(o.Seed, 32)), harasses: rand.New(rand.NewPCG(o.Seed, 33)), guilt: rand.New(rand.NewPCG(o.Seed, 34)), strikes: rand.New(rand.NewPCG(o.Seed, 35)), longs: rand.New(rand.NewPCG(o.Seed, 36)), told: map[job.Outcome]int{}}
 	defer s.end()
 	if err := s.build(); err != nil {
 		return Report{}, fmt.Errorf("soak seed %d: %w", o.Seed, err)
 	}
+	s.began = time.Now()
 	ctx, cancel := context.WithTimeout(ctx, warm+o.Span)
 	defer cancel()
 	var wg sync.WaitGroup
 	wg.Go(func() { s.disturb(ctx) })
 	wg.Go(func() { s.harass(ctx) })
+	wg.Go(func() { s.strike(ctx) })
 	time.Sleep(warm)
 	s.load(ctx, &wg)
 	wg.Wait()
 	s.calm()
 	time.Sleep(settle)
-	rep := Report{Faults: append(s.faults, s.troubles...), Outcomes: s.told, Starts: s.judge.Starts, Broken: s.judge.Broken()}
+	rep := Report{Faults: s.faults, Outcomes: s.told, Starts: s.judge.Starts, Broken: s.judge.Broken()}
 	if n := s.judge.Running(); n > 0 {
 		rep.Broken = append(rep.Broken, fmt.Sprintf("%d runs never ended", n))
 	}
@@ -130,9 +137,6 @@
 	if err != nil {
 		return err
 	}
-	if s.vault, err = newProxy(at); err != nil {
-		return fmt.Errorf("store: %w", err)
-	}
 	s.store.Put(stand.Operator, "config", stand.Config(1, host, pool, "/u/", "/p/"))
 	for i := range s.Endpoints {
 		if err := s.endpoint(i); err != nil {
@@ -140,7 +144,7 @@
 		}
 	}
 	for i := range s.VMs {
-		v, err := s.settings(i)
+		v, err := s.settings(i, at)
 		if err != nil {
 			return err
 		}
@@ -152,13 +156,13 @@
 	return nil
 }
 
-func domain(n int) string { return fmt.Sprintf("fd-%d", n%2) }
+func (s *Soak) domain(n int) string { return fmt.Sprintf("fd-%d", n%s.Domains) }
 
 // limits of the endpoints.
 var limits = lease.Limits{Hold: time.Second, Stop: 50 * time.Millisecond}
 
 func (s *Soak) endpoint(i int) error {
-	in := lease.Info{ID: fmt.Sprintf("ep-%02d", i), Domain: domain(i), Pool: pool, Size: room}
+	in := lease.Info{ID: fmt.Sprintf("ep-%02d", i), Domain: s.domain(i), Pool: pool, Size: room}
 	e := fakes.NewLeased(in, limits, s.judge, time.Duration(i)*time.Second, s.Seed+uint64(i))
 	e.Crashed = func() { s.reborn(i, e) }
 	at, err := s.serve(func(ctx *fasthttp.RequestCtx) { stand.Worker(s.ep(i))(ctx) })
@@ -176,19 +180,21 @@
 	return nil
 }
 
-func (s *Soak) settings(i int) (*vm, error) {
+func (s *Soak) settings(i int, store string) (*vm, error) {
+	vault, err := newProxy(store)
+	if err != nil {
+		return nil, fmt.Errorf("store: %w", err)
+	}
 	var at [3]netip.AddrPort
 	for k := range at {
-		var err error
 		if at[k], err = local.Spare(); err != nil {
 			return nil, err
 		}
 	}
-	v := &vm{n: i, callers: at[0], settings: filepath.Join(s.Dir, fmt.Sprintf("vm-%d.json", i)), set: map[string]any{
-		"name": fmt.Sprint("vm-", i), "domain": domain(i), "caller": at[0], "ready": at[1], "mesh": at[2], "store": s.vault.l.Addr().String(),
+	v := &vm{n: i, callers: at[0], vault: vault, settings: filepath.Join(s.Dir, fmt.Sprintf("vm-%d.json", i)), set: map[string]any{
+		"name": fmt.Sprint("vm-", i), "domain": s.domain(i), "caller": at[0], "ready": at[1], "mesh": at[2], "store": vault.l.Addr().String(),
 	}}
-	err := v.write(v.set)
-	if err != nil {
+	if err = v.write(v.set); err != nil {
 		return nil, err
 	}
 	v.log, err = os.Create(filepath.Join(s.Dir, fmt.Sprintf("vm-%d.log", i)))
@@ -204,6 +210,8 @@
 	if err != nil {
 		return fmt.Errorf("settings of vm %d: %w", v.n, err)
 	}
+	v.file.Lock()
+	defer v.file.Unlock()
 	next := v.settings + ".next"
 	if err := os.WriteFile(next, text, 0o600); err != nil {
 		return fmt.Errorf("settings of vm %d: %w", v.n, err)
@@ -247,13 +255,11 @@
 			<-v.ended
 		}
 		_ = v.log.Close()
+		v.vault.close()
 	}
 	for _, p := range s.doors {
 		p.close()
 	}
-	if s.vault != nil {
-		s.vault.close()
-	}
 	for _, stop := range s.stops {
 		stop()
 	}
--- a/internal/tool/soak/soak_test.go
+++ b/internal/tool/soak/soak_test.go
@@ -13,12 +13,13 @@
 )
 
 var (
-	seeds = flag.Int("seeds", 1, "seeds to play")
-	seed  = flag.Uint64("seed", 1, "the first of them")
-	keep  = flag.String("keep", "", "folder for the daemons' logs, which are else dropped")
-	vms   = flag.Int("vms", 4, "daemons, in two failure domains")
-	rate  = flag.Float64("rate", 25, "jobs a second")
-	span  = flag.Duration("span", 6*time.Second, "how long callers come")
+	seeds   = flag.Int("seeds", 1, "seeds to play")
+	seed    = flag.Uint64("seed", 1, "the first of them")
+	keep    = flag.String("keep", "", "folder for the daemons' logs, which are else dropped")
+	vms     = flag.Int("vms", 8, "daemons")
+	domains = flag.Int("domains", 4, "failure domains")
+	rate    = flag.Float64("rate", 40, "jobs a second")
+	span    = flag.Duration("span", 6*time.Second, "how long callers come")
 )
 
 // found are seeds that once broke a promise, each with its cause.
@@ -47,7 +48,7 @@
 					t.Fatal(err)
 				}
 			}
-			r, err := Run(t.Context(), Options{Binary: binary, Dir: dir, Seed: sd, VMs: *vms, Endpoints: 2 * *vms, Rate: *rate, Span: *span})
+			r, err := Run(t.Context(), Options{Binary: binary, Dir: dir, Seed: sd, Domains: *domains, VMs: *vms, Endpoints: 2 * *vms, Rate: *rate, Span: *span})
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/internal/tool/soak/trouble.go
+++ b/internal/tool/soak/trouble.go
@@ -30,7 +30,7 @@
 		case <-time.After(time.Duration(500+s.harasses.IntN(2000)) * time.Millisecond):
 		}
 		name, do := s.trouble()
-		s.troubles = append(s.troubles, name)
+		s.note(name)
 		do()
 	}
 }
@@ -41,7 +41,7 @@
 	d := time.Duration(300+s.harasses.IntN(2500)) * time.Millisecond
 	switch s.harasses.IntN(5) {
 	case 0:
-		fd, span := domain(n), cordonLeast+d
+		fd, span := s.domain(n), cordonLeast+d
 		if s.cordoned() {
 			return "no second cordon", func() {} // with both domains cordoned there is no work to do
 		}
@@ -81,7 +81,7 @@
 	s.store.Put(stand.Operator, stand.Cordon(fd), []byte("{}"))
 	var ids []string
 	for i := range s.doors {
-		if domain(i) == fd {
+		if s.domain(i) == fd {
 			ids = append(ids, s.ep(i).ID)
 		}
 	}
@@ -124,7 +124,7 @@
 }
 
 // room is what an endpoint has.
-var room = job.Size{Cores: 64, Memory: 128}
+var room = job.Size{Cores: 192, Memory: 384}
 
 // resize changes an endpoint's room to a part of what it had, and its word on it.
 func (s *Soak) resize(e *fakes.Leased, part float64) {
