Tasks of an endpoint that another VM has taken begin anew at once

Callers saw: when a VM takes endpoints from an owner that lives, the jobs with runs there take 0.7 to 0.9 s longer, and some end as unknown, though their owner has other endpoints with room.

Cause: the new owner stops what it finds within 50 ms. The former one is refused by the endpoint, hears nothing of it, and takes its runs as over only when the last lease that it asked for must have run out.

Change: heartbeats name endpoints that the sender has taken over and cleared (id of the life, fence): those whose answers under its fence listed something of others at first and no such run in the end. A former owner with a lower fence takes its runs there as over, without suspicion, and starts their tasks anew.

Why it holds: from that answer on the endpoint obeys the fence, so that no run of a lower one is there, begins or is renewed; it never goes back, and another life has another id. So the word is true however late it comes. It is heeded for a strictly lower own fence alone: not by an owner that has the endpoint again with a higher one, and not with equal fences, both of which the endpoint obeys.

TestTasksOfATakenEndpointGoOnSoon played no new owner, so that no owner could have known that the run is over. It plays one now, whose first heartbeat is lost. The check and the bound of 0.25 s are the same; new is that nothing starts before the word.

The grid's judge notes how long tasks stand still; its VMs can be deaf.

--- a/internal/edge/serve/beat.go
+++ b/internal/edge/serve/beat.go
@@ -125,6 +125,9 @@
 	for _, s := range d.book.Suspects(now) {
 		b.Suspects = append(b.Suspects, frame.Suspect(s))
 	}
+	for _, c := range d.book.Cleared(now) {
+		b.Cleared = append(b.Cleared, frame.Cleared(c))
+	}
 	if d.rides() {
 		l := d.loadFrame(d.load(now))
 		l.Next = view.Far * view.Period
@@ -236,13 +239,17 @@
 	return p.Age(now, stamp)
 }
 
-// heed takes in which tasks another owner suspects.
-func (d *Node) heed(now time.Time, all []frame.Suspect) {
+// heed takes in which tasks another owner suspects, and which endpoints it has cleared.
+func (d *Node) heed(now time.Time, m *frame.Beat) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for _, s := range all {
+	for _, s := range m.Suspects {
 		d.book.Heed(now, owner.Suspect(s))
 	}
+	for _, c := range m.Cleared {
+		d.book.Yield(now, owner.Cleared(c))
+	}
+	d.perform()
 }
 
 // Receive takes in a message of another VM.
@@ -253,8 +260,8 @@
 		if c, ok := d.view.Hear(now, from, m); ok {
 			d.changed(now, c)
 		}
-		if len(m.Suspects) > 0 {
-			d.heed(now, m.Suspects)
+		if len(m.Suspects)+len(m.Cleared) > 0 {
+			d.heed(now, m)
 		}
 		if m.Load != nil {
 			d.mu.Lock()
--- a/internal/mesh/frame/msg.go
+++ b/internal/mesh/frame/msg.go
@@ -81,6 +81,8 @@
 	Strained bool `msgpack:"x,omitempty"`
 	// Suspects are tasks that the sender has come to suspect of crashing their endpoints.
 	Suspects []Suspect `msgpack:"k,omitempty"`
+	// Cleared are endpoints that the sender took over and where nothing runs for former owners any more.
+	Cleared []Cleared `msgpack:"e,omitempty"`
 	// Load is the sender's load, if it is told with heartbeats alone.
 	Load *Load `msgpack:"y,omitempty"`
 }
@@ -91,6 +93,12 @@
 	Lost int    `msgpack:"n"`
 }
 
+// Cleared says that an endpoint obeys a fence and runs nothing of lower ones.
+type Cleared struct {
+	Endpoint string `msgpack:"i"`
+	Fence    uint64 `msgpack:"f"`
+}
+
 // Late says how much later than usual a peer's last heartbeat came.
 type Late struct {
 	VM netip.AddrPort `msgpack:"v"`
--- a/internal/task/lease/lease.go
+++ b/internal/task/lease/lease.go
@@ -3,8 +3,8 @@
 //
 // Everything on an endpoint shares one lease that the owner renews. A run is only over
 // when its end was listed, its endpoint has lost all it ran, a stop of it was confirmed
-// and it is not listed any more, or the last lease that was asked for has run out.
-// Before that another run of the task could overlap it.
+// and it is not listed any more, a later owner has found nothing running there, or the
+// last lease that was asked for has run out. Before that another run of the task could overlap it.
 package lease
 
 import (
@@ -122,6 +122,7 @@
 	Used   job.Size
 	Runs   map[Name]*Run
 	Known  bool // its answers are taken in; before that nothing is started
+	Taken  bool // before it was known, it listed runs or ends of a former owner
 	Silent bool // the last renewals got no answer
 	Missed int  // renewals in a row that got none
 
@@ -249,6 +250,7 @@
 	e.Silent, e.Missed = false, 0
 	e.clock, e.at = r.Clock, now
 	e.owed = len(r.Ended) > 0
+	e.Taken = e.Taken || (!e.Known && len(r.Running)+len(r.Ended) > 0)
 	for _, x := range r.Ended {
 		if x.Serial <= e.Cursor {
 			continue // an older answer that was overtaken
@@ -334,3 +336,12 @@
 	}
 	return over
 }
+
+// Cleared ends all runs: the endpoint obeys a higher fence, under which it has listed none of them.
+func (e *Endpoint) Cleared() (over []Finished) {
+	for _, r := range e.Runs {
+		e.end(r)
+		over = append(over, Finished{r, Gone})
+	}
+	return over
+}
--- a/internal/task/owner/book.go
+++ b/internal/task/owner/book.go
@@ -98,6 +98,7 @@
 	suspected map[string]time.Time // when, by task
 	news      []news               // of suspicions, for other owners
 	deaths    []death
+	clears    []clearing // of endpoints that were taken from other owners
 	// cordons are the failure domains whose endpoints get no new work, since when.
 	cordons map[string]time.Time
 }
--- a/internal/task/owner/events.go
+++ b/internal/task/owner/events.go
@@ -115,8 +115,11 @@
 	if s == nil || s.Endpoint != ep || s.lost {
 		return
 	}
-	was := ep.Silent
+	was, known := ep.Silent, ep.Known
 	over, orphans := ep.Take(now, sent, r)
+	if !known && ep.Known && ep.Taken {
+		b.cleared(now, s)
+	}
 	if was {
 		b.cfg.Log.Info("endpoint back", "endpoint", ep.ID, "runs", len(ep.Runs))
 		b.health.Reached(ep.Addr)
--- a/internal/task/owner/owner_test.go
+++ b/internal/task/owner/owner_test.go
@@ -370,10 +370,8 @@
 	is.Equal(refused(), 1)
 }
 
-// What happens: another VM takes an endpoint from a living owner; the jobs that ran there stand still for
-// 0.95 s before their tasks start elsewhere. Why: the owner doesn't hear that the next one has stopped
-// them, and waits until the lease must have run out. What showed it: "endpoint lost ... runs=2" and the
-// next "start" of the same task 0.95 s later. The bound is what a stop takes, and two heartbeats.
+// Guards against tasks that wait for the lease though the next owner has stopped them. The bound is what a stop
+// takes, and two heartbeats.
 func TestTasksOfATakenEndpointGoOnSoon(t *testing.T) {
 	is := is.New(t)
 	b := bench(64, 64)
@@ -381,8 +379,22 @@
 	a := b.Take()
 	begin(b, t0, a.Starts)
 	now := t0.Add(50 * time.Millisecond)
-	b.Lose(now, a.Starts[0].At.ID, false, "another VM owns it")
+	taken := a.Starts[0]
+	b.Lose(now, taken.At.ID, false, "another VM owns it")
 	b.Take()
+	next := bench()
+	next.Own(taken.At.Info, taken.Fence+1)
+	next.Renewed(now, now, next.Find(taken.At.ID), lease.Report{Clock: 1050, Running: []lease.Listed{{Name: taken.Run.Name, Num: taken.Run.Num}}})
+	is.Equal(len(next.Take().Stops), 1)
+	is.Equal(len(next.Cleared(now)), 0) // it may still run
+	stopped := now.Add(50 * time.Millisecond)
+	next.Renewed(stopped, stopped, next.Find(taken.At.ID), lease.Report{Clock: 1100})
+	next.Cleared(stopped.Add(100 * time.Millisecond)) // this heartbeat is lost
+	b.Tick(now.Add(249 * time.Millisecond))
+	is.Equal(len(b.Take().Starts), 0) // before it hears that nothing runs there any more
+	for _, c := range next.Cleared(stopped.Add(200 * time.Millisecond)) {
+		b.Yield(now.Add(250*time.Millisecond), c)
+	}
 	b.Tick(now.Add(250 * time.Millisecond))
 	a = b.Take()
 	is.Equal(len(a.Starts)+len(a.Tells), 1)
--- a/internal/tool/grid/judge.go
+++ b/internal/tool/grid/judge.go
@@ -24,16 +24,25 @@
 	shut   map[string]time.Time // endpoints that may start nothing, from when on
 	guilty map[string]bool      // jobs with a task that crashes endpoints
 	killed map[string]int       // starts of such tasks
+	halted map[string]time.Time // when the last run of a task ended or was broken off
+	halts  []Halt
 	broken []string
 	Starts int
 	Stops  int
 }
 
+// Halt is the time from when a run was over that did not fail until its task began again: the run was broken off, or its
+// owner did not hear of its end.
+type Halt struct {
+	At  time.Time
+	For time.Duration
+}
+
 // NewJudge returns a judge that has seen nothing.
 func NewJudge() *Judge {
 	return &Judge{
 		work: map[string]fakes.Work{}, live: map[string]map[string]int{}, done: map[string]int{},
-		began: map[string]bool{}, told: map[string]job.Answer{}, tasks: map[string]int{}, shut: map[string]time.Time{}, guilty: map[string]bool{}, killed: map[string]int{},
+		began: map[string]bool{}, told: map[string]job.Answer{}, tasks: map[string]int{}, shut: map[string]time.Time{}, guilty: map[string]bool{}, killed: map[string]int{}, halted: map[string]time.Time{},
 	}
 }
 
@@ -69,6 +78,10 @@
 	if len(j.live[task]) > 0 {
 		j.broken = append(j.broken, fmt.Sprintf("twice: %s run %d on %s while %v", task, num, ep, j.live[task]))
 	}
+	if since, ok := j.halted[task]; ok {
+		j.halts = append(j.halts, Halt{since, at.Sub(since)})
+		delete(j.halted, task)
+	}
 	if a, ok := j.told[id]; ok && a.Outcome == job.Refused {
 		j.broken = append(j.broken, fmt.Sprintf("lie: %s began after its job was refused", task))
 	}
@@ -79,10 +92,13 @@
 }
 
 // Over implements fakes.Board.
-func (j *Judge) Over(_ time.Time, ep, task string, _ int, how lease.How) {
+func (j *Judge) Over(at time.Time, ep, task string, _ int, how lease.How) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	delete(j.live[task], ep)
+	if how != lease.Failed {
+		j.halted[task] = at
+	}
 	switch how {
 	case lease.Done:
 		j.done[jobOf(task)]++
@@ -92,6 +108,18 @@
 	}
 }
 
+// Halts lists for how long tasks stood still whose runs were over in a span and that began again.
+func (j *Judge) Halts(from, to time.Time) (all []time.Duration) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for _, h := range j.halts {
+		if h.At.After(from) && h.At.Before(to) {
+			all = append(all, h.For)
+		}
+	}
+	return all
+}
+
 // Blame notes that a job has a task that crashes endpoints.
 func (j *Judge) Blame(id string) {
 	j.mu.Lock()
--- a/internal/tool/grid/net.go
+++ b/internal/tool/grid/net.go
@@ -83,6 +83,7 @@
 	ready  atomic.Bool // the balancer sends callers
 	orders atomic.Int64
 	alone  atomic.Bool // no message passes between it and other VMs
+	deaf   atomic.Bool // no message of other VMs reaches it
 	// shunned is set while the balancer finds the VM not ready.
 	shunned atomic.Bool
 }
@@ -114,7 +115,7 @@
 			}
 			time.Sleep(healed)
 		}
-		if l.to.dead.Load() || l.to.alone.Load() || l.g.linkless(l.from.Domain, l.to.Domain) {
+		if l.to.dead.Load() || l.to.alone.Load() || l.to.deaf.Load() || l.g.linkless(l.from.Domain, l.to.Domain) {
 			return
 		}
 		l.to.clock.gate() // a paused VM reads later
@@ -140,7 +141,7 @@
 	if vm == nil || vm.dead.Load() || p.from.dead.Load() {
 		return errDead
 	}
-	if p.from.alone.Load() || vm.alone.Load() {
+	if p.from.alone.Load() || vm.alone.Load() || vm.deaf.Load() {
 		return errCut
 	}
 	if vm.clock.stands() > deaf && !frame.Answering(m) {
