A job whose former runs go on is answered as unknown, not as refused

A caller that submitted its job again while runs of it were being stopped got 503 ('running'), which says that the job never runs. Since it isn't a broken answer, such a caller doesn't come back either; after 504 it does, when those runs must be over.

Cause: the refusal spoke of the second submission alone. Change: outcome unknown, with the same reason and time to come back, by the owner's book and by a VM that can't reach the former owner. Read, not seen in a play.

--- a/internal/edge/serve/submit.go
+++ b/internal/edge/serve/submit.go
@@ -194,9 +194,10 @@
 	}
 }
 
-// mayRun refuses a call for as long as runs of its job may go on at the owner of a former one.
+// mayRun is the answer to a call whose job may still run for a former one. Not a refusal: that would say that it
+// never runs.
 func (d *Node) mayRun(c *call) job.Answer {
-	return *job.Refuse(job.StillRuns, spread(d.cfg.Limits.Outlive()), "the same job may still run at %s", c.former)
+	return job.Answer{Outcome: job.Unknown, Reason: job.StillRuns, Retry: spread(d.cfg.Limits.Outlive()), Detail: fmt.Sprintf("the same job may still run at %s", c.former)}
 }
 
 // give gives a call to an owner; the caller holds the lock.
--- a/internal/task/owner/again_test.go
+++ b/internal/task/owner/again_test.go
@@ -17,6 +17,7 @@
 	now := t0.Add(200 * time.Millisecond)
 	b.Submit(now, key(2), askedAt(now, of("j1", 0, tasks(1, 30, time.Second))))
 	tells := b.Take().Tells
+	is.Equal(tells[1].Answer.Outcome, job.Unknown) // the former submission has run
 	is.Equal(tells[1].Answer.Reason, job.StillRuns)
 	ep, back := b.Find("e"), now.Add(tells[1].Answer.Retry)
 	for ; now.Before(back); now = now.Add(10 * time.Millisecond) { // another job asks for the lease
--- a/internal/task/owner/take.go
+++ b/internal/task/owner/take.go
@@ -17,7 +17,8 @@
 			b.finish(now, old, job.Answer{Outcome: job.Unknown, Reason: job.StillRuns, Detail: "the same job was submitted again"})
 		}
 		if len(old.runs) > 0 {
-			b.refuse(now, key, j, job.StillRuns, b.runsFor(now, old), "a run of the same job is being stopped")
+			b.cfg.Log.Info("job still runs", "job", j.ID, "by", key.VM, "runs", len(old.runs), "word", now.Sub(old.word).Round(time.Millisecond))
+			b.acts.Tells = append(b.acts.Tells, Tell{key, job.Answer{Outcome: job.Unknown, Reason: job.StillRuns, Retry: b.runsFor(now, old), Detail: "a run of the same job is being stopped"}})
 			return
 		}
 	}
