Model: words of a caller's VM that is not the owner

Cause: the model's two VMs answered their own callers and callers never submitted again by its limits, so that it could not show the class of fault of docs/incidents/ran-twice.md: a run that goes on for a VM that is gone, or that has answered "unknown", while the caller's second submission runs.

Change: Limits have Resend (the model's 1.3 s), with Notice 0. A second setup, Other, beside Own: an entry VM hands the job to VM 0 (Asked is set), says each 0.15 s that it waits, and the caller submits again to VM 1 1.3 s after the entry VM died or answered unknown; at once if VM 0 refused. VM 0 owns endpoint a and runs a job of its own there, which prolongs the lease; VM 1 owns b, and a after a takeover. Faults: the job or a word is lost, comes soon or late; the link turns slow or is cut; the entry VM dies or answers unknown, its Drop lost or late; VM 0's answer is not heard; VM 0 pauses (0.6 or 1.5 s) or dies; starts and stops as before, or no stop arrives at all; renewals or their answers are lost. No run of the first submission may go on when the second comes. Bounded: the entry VM's faults strike at the job and its first three words (a later word is like them), VM 0's pauses and lost renewals at every second word until 1.75 s, VM 1's orders are well. Endpoints hold several runs and list their true progress. A replayed sequence that differs panics.

Four broken variants more: a job and a word counted from when they are read, leases asked for without regard to the words, tasks started on a word of any age (a book with four times the Resend, whose leases the model bounds by the right limits).

--- a/internal/tool/model/choose.go
+++ b/internal/tool/model/choose.go
@@ -1,7 +1,8 @@
 // Package model explores what an owner of leased endpoints may do under every combination
 // of a bounded number of faults: orders and answers that are lost, orders that are carried
-// out late, VMs that pause or die. The decisions are the product's own (task/owner,
-// task/lease); only the endpoints, the network and the callers are modelled.
+// out late, VMs that pause or die, words of a caller's VM that come late or never. The
+// decisions are the product's own (task/owner, task/lease); only the endpoints, the network
+// and the callers with their VM are modelled.
 package model
 
 // chooser plays one sequence of choices and finds the next. The first choice at each
@@ -21,9 +22,12 @@
 	if c.at == len(c.path) {
 		c.path = append(c.path, choice{n: n})
 	}
-	p := c.path[c.at].pick
+	x := c.path[c.at]
+	if x.n != n {
+		panic("model: a sequence of choices was played twice and differed")
+	}
 	c.at++
-	return p
+	return x.pick
 }
 
 // next moves on to a sequence that was not played yet; false if there is none.
--- a/internal/tool/model/endpoint.go
+++ b/internal/tool/model/endpoint.go
@@ -1,19 +1,20 @@
 package model
 
 import (
+	"slices"
 	"time"
 
 	"dahliawinch/internal/plat/agent"
 	"dahliawinch/internal/task/lease"
 )
 
-// endpoint runs one task at a time under a lease, on a clock that is slow.
+// endpoint has one lease for all its runs, of which one at a time is of the job, and a slow clock.
 type endpoint struct {
 	w      *world
 	id     string
 	fence  uint64
 	until  int64 // of the lease, on its own clock
-	run    *running
+	runs   []*running
 	past   map[string]int
 	ends   []lease.Ended
 	serial int64
@@ -21,9 +22,24 @@
 
 type running struct {
 	lease.Name
-	due time.Time
+	of    int // the submission
+	began time.Time
+	due   time.Time
 }
 
+// find returns the run of a task, or nil.
+func (e *endpoint) find(task string) *running {
+	for _, r := range e.runs {
+		if r.Task == task {
+			return r
+		}
+	}
+	return nil
+}
+
+// percent is how much of its work a run has done.
+func (r *running) percent(now time.Time) int { return int(100 * now.Sub(r.began) / r.due.Sub(r.began)) }
+
 // slowClock is the part of the time that an endpoint's clock counts.
 const slowClock = 0.98
 
@@ -45,16 +61,19 @@
 		return &agent.RefusedError{Why: agent.Late}
 	}
 	e.extend(s.Until)
+	r := e.find(s.Name.Task)
 	switch {
-	case e.run != nil && e.run.Name == s.Name:
+	case r != nil && r.Name == s.Name:
 		return nil
 	case s.Name.Num <= e.past[s.Name.Task]:
 		return &agent.RefusedError{Why: agent.Old}
-	case e.run != nil:
+	case r != nil:
 		return &agent.RefusedError{Why: agent.NoRoom}
 	}
-	e.run = &running{s.Name, e.w.now.Add(work)}
-	e.w.began(e, s.Name, of)
+	e.runs = append(e.runs, &running{s.Name, of, e.w.now, e.w.now.Add(e.w.takes(s.Name.Task))})
+	if s.Name.Task == theTask {
+		e.w.began(e, s.Name, of)
+	}
 	return nil
 }
 
@@ -67,27 +86,28 @@
 		return err
 	}
 	e.past[n.Task] = max(e.past[n.Task], n.Num)
-	if e.run != nil && e.run.Name == n {
-		e.over(lease.Gone)
+	if r := e.find(n.Task); r != nil && r.Name == n {
+		e.over(r, lease.Gone)
 	}
 	return nil
 }
 
-func (e *endpoint) over(how lease.How) {
+func (e *endpoint) over(r *running, how lease.How) {
 	e.serial++
-	e.ends = append(e.ends, lease.Ended{Serial: e.serial, Name: e.run.Task, Num: e.run.Num, How: how})
-	e.past[e.run.Task] = max(e.past[e.run.Task], e.run.Num)
-	e.run = nil
+	e.ends = append(e.ends, lease.Ended{Serial: e.serial, Name: r.Task, Num: r.Num, How: how})
+	e.past[r.Task] = max(e.past[r.Task], r.Num)
+	e.runs = slices.DeleteFunc(e.runs, func(x *running) bool { return x == r })
 }
 
 // live ends what is done and what has lost its lease.
 func (e *endpoint) live() {
-	switch {
-	case e.run == nil:
-	case e.clock() >= e.until:
-		e.over(lease.Gone)
-	case !e.w.now.Before(e.run.due):
-		e.over(lease.Done)
+	for _, r := range slices.Clone(e.runs) {
+		switch {
+		case e.clock() >= e.until:
+			e.over(r, lease.Gone)
+		case !e.w.now.Before(r.due):
+			e.over(r, lease.Done)
+		}
 	}
 }
 
@@ -102,8 +122,8 @@
 		e.extend(o.Until)
 	}
 	r := lease.Report{Clock: e.clock(), Ended: append([]lease.Ended(nil), e.ends...)}
-	if e.run != nil {
-		r.Running = []lease.Listed{{Name: e.run.Task, Num: e.run.Num, Percent: 50}}
+	for _, x := range e.runs {
+		r.Running = append(r.Running, lease.Listed{Name: x.Task, Num: x.Num, Percent: x.percent(e.w.now)})
 	}
 	return r, nil
 }
--- a/internal/tool/model/world.go
+++ b/internal/tool/model/world.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"io"
 	"log/slog"
 	"net/netip"
 	"slices"
@@ -27,10 +26,15 @@
 	late    = 2 * time.Second        // or so long
 	silent  = time.Second            // after which another VM takes over
 	again   = 1300 * time.Millisecond
-	left    = 3 * time.Second
 	tries   = 2 // of a start, and of a stop
 )
 
+// The job and its one task.
+const (
+	theJob  = "j"
+	theTask = theJob + ".0.0.0"
+)
+
 // Fault leaves out one clause of the product, to show that the exploration needs it.
 type Fault int
 
@@ -41,15 +45,31 @@
 	DoubtIsOver         // an unanswered start counts as one that never began
 	SameFence           // the next owner takes the fence of the former
 	SilenceIsEnd        // what runs on a silent endpoint counts as over at once
+	HandReadNow         // a job counts as asked for when it is read
+	WordReadNow         // a word counts as sent when it is read
+	LeaseAnyway         // leases are asked for without regard to the words
+	AnyAge              // tasks start on a word of any age
+)
+
+// Setup says which VM answers the job's caller.
+type Setup int
+
+// The setups.
+const (
+	Own   Setup = iota // the one that runs the job
+	Other              // a third one, which asks for the job
 )
 
 var errLost = errors.New("no answer")
 
 // world is two VMs that own the same two endpoints one after the other, and a caller that
-// submits a job of one task, and again elsewhere if its VM falls silent.
+// submits a job of one task, and again elsewhere if its VM falls silent. With an entry VM each
+// of the two owns one endpoint to begin with, and the caller also submits again if the outcome
+// is unknown.
 type world struct {
 	*chooser
 	fault  Fault
+	entry  *entry // nil if VM 0 answers the caller
 	now    time.Time
 	ends   []*endpoint
 	vms    []*vm
@@ -60,9 +80,10 @@
 	done   bool    // a caller has its whole answer
 }
 
-// event is an order that is on its way.
+// event is an order or a message that is on its way.
 type event struct {
 	at time.Time
+	to *vm // reads it, unless it stands still; nil for an endpoint
 	do func()
 }
 
@@ -72,23 +93,40 @@
 	n      int
 	book   *owner.Book
 	fence  uint64
+	still  time.Time // since when it pauses or is dead
 	until  time.Time // it pauses
 	dead   bool
 	asked  bool
+	stops  bool // it has ordered a stop
+	deaf   bool // none of its stops arrives
 	answer *job.Answer
 }
 
 var epoch = time.Unix(1_700_000_000, 0)
 
-func newWorld(c *chooser, f Fault) *world {
+// limits are the endpoints' and the callers'.
+var limits = lease.Limits{Hold: hold, Stop: step, Resend: again}
+
+// limitsOf returns those of a VM's book.
+func (w *world) limitsOf(vm int) lease.Limits {
+	l := limits
+	if w.fault == AnyAge && vm == 0 {
+		l.Resend *= 4 // a word is fresh for so much longer
+	}
+	return l
+}
+
+func newWorld(c *chooser, f Fault, s Setup) *world {
 	w := &world{chooser: c, fault: f, now: epoch}
 	for i := range 2 {
 		w.ends = append(w.ends, &endpoint{w: w, id: string(rune('a' + i)), past: map[string]int{}})
-		log := slog.New(slog.NewTextHandler(io.Discard, nil))
 		w.vms = append(w.vms, &vm{w: w, n: i, fence: 7 + uint64(i), book: owner.New(owner.Config{
-			Limits: lease.Limits{Hold: hold, Stop: step}, Far: 2, Log: log,
+			Limits: w.limitsOf(i), Far: 2, Log: slog.New(slog.DiscardHandler),
 		})})
 	}
+	if s == Other {
+		w.entry = &entry{w: w}
+	}
 	if f == SameFence {
 		w.vms[1].fence = w.vms[0].fence
 	}
@@ -111,7 +149,7 @@
 	w.note("endpoint %s begins run %d for VM %d", e.id, n.Num, of)
 	w.begun[of] = true
 	for _, o := range w.ends {
-		if o != e && o.run != nil && o.run.Task == n.Task {
+		if o != e && o.find(n.Task) != nil {
 			w.breaks("two runs at the same time, on %s and %s", o.id, e.id)
 		}
 	}
@@ -123,10 +161,40 @@
 	}
 }
 
+// open gives the VMs their endpoints.
+func (w *world) open() {
+	if w.entry == nil {
+		w.vms[0].own(w.ends...)
+		return
+	}
+	for i, v := range w.vms {
+		v.own(w.ends[i])
+	}
+}
+
+func (w *world) horizon() time.Duration {
+	if w.entry == nil {
+		return horizon
+	}
+	return longHorizon
+}
+
+// takes is how long a task runs.
+func (w *world) takes(task string) time.Duration {
+	switch {
+	case w.entry == nil:
+		return work
+	case task == theTask:
+		return longWork
+	default:
+		return longHorizon
+	}
+}
+
 // play runs the world to its end.
 func (w *world) play() {
-	w.vms[0].own()
-	for w.since() < horizon && len(w.broken) == 0 {
+	w.open()
+	for w.since() < w.horizon() && len(w.broken) == 0 {
 		w.tick()
 		if w.settled() {
 			return
@@ -134,7 +202,7 @@
 		w.now = w.now.Add(step)
 	}
 	for _, e := range w.ends {
-		if e.run != nil && len(w.broken) == 0 {
+		if e.find(theTask) != nil && len(w.broken) == 0 {
 			w.breaks("a run goes on for nobody on %s", e.id)
 		}
 	}
@@ -142,14 +210,25 @@
 
 // settled reports whether nothing can happen any more.
 func (w *world) settled() bool {
-	return w.done && len(w.later) == 0 && w.ends[0].run == nil && w.ends[1].run == nil
+	if w.entry != nil && w.entry.settled() {
+		return true
+	}
+	return w.done && len(w.later) == 0 && !w.runs(0) && !w.runs(1)
+}
+
+// runs reports whether the task runs for a submission.
+func (w *world) runs(of int) bool {
+	return slices.ContainsFunc(w.ends, func(e *endpoint) bool {
+		r := e.find(theTask)
+		return r != nil && r.of == of
+	})
 }
 
 func (w *world) tick() {
 	due := w.later
 	w.later = nil
 	for _, x := range due {
-		if w.now.Before(x.at) {
+		if w.now.Before(x.at) || (x.to != nil && x.to.stands()) {
 			w.later = append(w.later, x)
 		} else {
 			x.do()
@@ -158,23 +237,21 @@
 	for _, e := range w.ends {
 		e.live()
 	}
+	if w.entry != nil {
+		w.entry.tick()
+	}
 	for _, v := range w.vms {
 		v.tick()
 	}
 }
 
 // quiet is how long a VM has been paused or dead.
-func (v *vm) quiet() time.Duration {
-	if v.dead {
-		return v.w.now.Sub(v.until)
-	}
-	return v.w.now.Sub(v.until.Add(-pause))
-}
+func (v *vm) quiet() time.Duration { return v.w.now.Sub(v.still) }
 
 func (v *vm) stands() bool { return v.dead || v.w.now.Before(v.until) }
 
-func (v *vm) own() {
-	for _, e := range v.w.ends {
+func (v *vm) own(ends ...*endpoint) {
+	for _, e := range ends {
 		v.book.Own(lease.Info{ID: e.id, Addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, e.id[0]}), 80), Size: job.Size{Cores: 64}}, v.fence)
 	}
 }
@@ -189,14 +266,18 @@
 		return
 	}
 	if ep := v.book.Find("a"); v.n == 0 && !v.asked && ep != nil && ep.Known {
-		v.submit()
+		if v.w.entry == nil {
+			v.submit()
+		} else {
+			v.occupy()
+		}
 	}
 	for _, e := range v.w.ends {
 		v.renew(e)
 	}
 	v.book.Tick(v.w.now)
 	v.perform()
-	if v.n == 0 && v.asked && v.answer == nil && v.until.IsZero() {
+	if v.n == 0 && v.asked && v.until.IsZero() && v.strikes() && (v.answer == nil || v.w.entry != nil) {
 		v.stumble()
 	}
 }
@@ -208,22 +289,57 @@
 	}
 	if first.quiet() == silent {
 		v.w.note("VM %d takes over", v.n)
-		v.own()
+		v.own(v.w.ends...)
 	}
-	if first.quiet() == again && !v.asked {
+	if first.quiet() == again && !v.asked && v.w.entry == nil {
 		v.submit()
 	}
 }
 
+// strikes reports whether the VM may pause, die or lose a renewal now. With an entry VM only VM 0 may, at some
+// of the entry VM's words.
+func (v *vm) strikes() bool {
+	e := v.w.entry
+	if e == nil {
+		return true
+	}
+	n := e.due()
+	return v.n == 0 && n > 0 && n%sparse == 0 && v.w.now.Sub(e.sent) <= words*tell+again
+}
+
+// renewals is how many things may happen to a renewal now.
+func (v *vm) renewals() int {
+	switch {
+	case v.w.entry == nil:
+		return 6
+	case v.strikes():
+		return 3 // it or its answer is lost
+	default:
+		return 1
+	}
+}
+
 // stumble lets a VM pause or die.
 func (v *vm) stumble() {
-	switch v.w.pick(3) {
+	n := 3
+	if v.w.entry != nil {
+		n = 4
+	}
+	p := v.w.pick(n)
+	if p == 0 {
+		return
+	}
+	v.still, v.until = v.w.now, v.w.now
+	switch p {
 	case 1:
 		v.w.note("VM %d pauses", v.n)
 		v.until = v.w.now.Add(pause)
 	case 2:
 		v.w.note("VM %d dies", v.n)
-		v.dead, v.until = true, v.w.now
+		v.dead = true
+	case 3:
+		v.w.note("VM %d pauses for a moment", v.n)
+		v.until = v.w.now.Add(moment)
 	}
 }
 
@@ -235,16 +351,22 @@
 	v.w.note("the job is submitted to VM %d", v.n)
 	v.asked = true
 	v.book.Submit(v.w.now, v.key(), &batch.Job{
-		ID: "j", Queue: "q", Attempts: 3, Stretch: 1.6, Slack: 2 * time.Second, Left: left,
-		Steps: []batch.Step{{Count: 1, Need: job.Size{Cores: 60}, Run: work}},
+		ID: theJob, Queue: "q", Attempts: 3, Stretch: 1.6, Slack: 2 * time.Second, Left: v.w.horizon() - time.Second,
+		Steps: []batch.Step{{Count: 1, Need: job.Size{Cores: 60}, Run: v.w.takes(theTask)}},
 	})
 	v.perform()
 }
 
 // order gives an order to an endpoint: it may be lost, its answer may be, and it may be
 // carried out late.
-func (v *vm) order(what string, do func() error) error {
-	switch v.w.pick(6) {
+func (v *vm) order(what string, do func() error) error { return v.orderWith(6, what, do) }
+
+// orderWith lets fewer things go wrong.
+func (v *vm) orderWith(n int, what string, do func() error) error {
+	if v.w.entry != nil && v.n > 0 {
+		return do()
+	}
+	switch v.w.pick(n) {
 	case 0:
 		return do()
 	case 1:
@@ -254,10 +376,10 @@
 		_ = do()
 	case 3:
 		v.w.note("VM %d's %s comes soon", v.n, what)
-		v.w.later = append(v.w.later, event{v.w.now.Add(soon), func() { _ = do() }})
+		v.w.later = append(v.w.later, event{v.w.now.Add(soon), nil, func() { _ = do() }})
 	case 4:
 		v.w.note("VM %d's %s comes late", v.n, what)
-		v.w.later = append(v.w.later, event{v.w.now.Add(late), func() { _ = do() }})
+		v.w.later = append(v.w.later, event{v.w.now.Add(late), nil, func() { _ = do() }})
 	case 5:
 		v.w.note("VM %d's %s is refused as ill", v.n, what)
 		return &agent.RefusedError{Why: agent.Ill}
@@ -272,13 +394,14 @@
 	}
 	o := agent.Renew{Fence: ep.Fence, Cursor: ep.Cursor}
 	if ep.Known && !ep.Silent && len(ep.Runs) > 0 {
-		o.Until = ep.Until(v.w.now)
+		o.Until = v.lease(ep)
 	}
 	var r lease.Report
-	err := v.order("renewal on "+e.id, func() (err error) {
+	renew := func() (err error) {
 		r, err = e.renew(o)
 		return err
-	})
+	}
+	err := v.orderWith(v.renewals(), "renewal on "+e.id, renew)
 	var refused *agent.RefusedError
 	switch {
 	case err == nil:
@@ -301,7 +424,9 @@
 			return
 		}
 		for _, t := range acts.Tells {
-			v.tell(t.Answer)
+			if t.Key == v.key() {
+				v.tell(t.Answer)
+			}
 		}
 		for _, s := range acts.Starts {
 			v.start(s)
@@ -318,6 +443,8 @@
 	switch {
 	case a.Outcome == job.Refused && v.w.begun[v.n]:
 		v.w.breaks("VM %d says that the job did not run, and it did", v.n)
+	case v.n == 0 && v.w.entry != nil:
+		v.w.entry.hear(a)
 	case a.Outcome == job.Done:
 		v.w.done = true
 	}
@@ -330,11 +457,17 @@
 func (v *vm) start(s owner.Start) {
 	e := v.at(s.At)
 	o := agent.Start{Name: lease.Name{Task: s.Run.Name, Num: s.Run.Num}, Until: s.Until, Fence: s.Fence}
+	if v.w.fault == AnyAge {
+		o.Until = min(o.Until, v.within(s.At))
+	}
 	silent, err := 0, error(nil)
 	for silent < tries {
-		err = v.order("start on "+e.id, func() error {
-			return e.start(o, v.n)
-		})
+		start := func() error { return e.start(o, v.n) }
+		if s.Run.Name == theTask {
+			err = v.order("start on "+e.id, start)
+		} else {
+			err = start()
+		}
 		if !agent.Unanswered(err) {
 			break
 		}
@@ -351,6 +484,9 @@
 
 func (v *vm) stop(s owner.Stop) {
 	e := v.at(s.At)
+	if v.muted() {
+		return
+	}
 	for range tries {
 		err := v.order("stop on "+e.id, func() error { return e.stop(s.Name, s.Fence) })
 		var refused *agent.RefusedError
@@ -365,13 +501,27 @@
 	}
 }
 
+// muted reports whether the VM's stops are lost, from the first one on or not at all.
+func (v *vm) muted() bool {
+	if v.w.entry == nil || v.n > 0 {
+		return false
+	}
+	if !v.stops {
+		v.stops = true
+		if v.deaf = v.w.pick(2) == 1; v.deaf {
+			v.w.note("VM %d's stops are all lost", v.n)
+		}
+	}
+	return v.deaf
+}
+
 // Explore plays every sequence of at most so many faults, and returns how many there were
 // and the trace of the shortest that broke a promise.
-func Explore(faults int, f Fault) (plays int, trace []string) {
+func Explore(faults int, f Fault, s Setup) (plays int, trace []string) {
 	for most := range faults + 1 { // fewer faults first, for the shortest trace
 		c := &chooser{faults: most}
 		for more := true; more; more = c.next() {
-			w := newWorld(c, f)
+			w := newWorld(c, f, s)
 			w.play()
 			plays++
 			if len(w.broken) > 0 && (trace == nil || len(w.trace) < len(trace)) {
