Keepalives are called so

A newcomer met 'word', 'asked' and 'Asked' for one thing, and 'Keep' for four (the review). The message is Keepalive, its receiver Book.Keepalive, the times are Interval and Expiry, the log says how long ago a job was 'asked' for.

--- a/internal/edge/serve/beat.go
+++ b/internal/edge/serve/beat.go
@@ -138,7 +138,7 @@
 func (d *Node) tick() {
 	now := d.lock()
 	defer d.mu.Unlock()
-	d.keepOwn(now)
+	d.renewOwn(now)
 	d.silences(now)
 	if now.Sub(d.began) < joinFor {
 		d.decide(now) // not only with heartbeats: until the first claim all jobs wait
@@ -271,8 +271,8 @@
 		d.mu.Unlock()
 	case *frame.Hand:
 		d.take(from, m)
-	case *frame.Keep:
-		d.kept(from, m)
+	case *frame.Keepalive:
+		d.receiveKeepalive(from, m)
 	case *frame.Drop:
 		d.log.Info("job not wanted", "by", from.VM, "call", m.Call, "age", d.age(now, from.VM, m.At).Round(time.Millisecond))
 		now := d.lock()
--- a/internal/edge/serve/daemon.go
+++ b/internal/edge/serve/daemon.go
@@ -114,7 +114,7 @@
 	}
 	d.node.Start()
 	d.log.Info("serving", "name", d.set.Name, "vm", d.set.Mesh, "domain", d.set.Domain, "inc", d.node.cfg.Inc, "callers", d.set.Caller, "store", d.set.Store,
-		"resend", d.set.Resend.Std(), "outlive", d.node.cfg.Limits.Outlive(), "doubt", d.node.cfg.Limits.Doubt(), "fresh", d.node.cfg.Limits.Fresh(), "lease", d.node.cfg.Limits.Lease())
+		"resend", d.set.Resend.Std(), "outlive", d.node.cfg.Limits.Outlive(), "expiry", d.node.cfg.Limits.Expiry(), "fresh", d.node.cfg.Limits.Fresh(), "lease", d.node.cfg.Limits.Lease())
 	g.Go(func() error {
 		select {
 		case <-leave.Done():
--- a/internal/edge/serve/keep.go
+++ b/internal/edge/serve/keepalive.go
@@ -9,21 +9,21 @@
 	"dahliawinch/internal/task/owner"
 )
 
-// keep tells other owners which of their jobs this VM still waits for. What an owner runs for this VM ends a bounded
-// time after the last such word was sent, so neither a message that comes late nor one that is lost prolongs a run.
-func (d *Node) keep() {
-	for vm, m := range d.wanted() {
+// sendKeepalives tells other owners which of their jobs this VM still waits for. What an owner runs for this VM ends a bounded
+// time after the last of these was sent, so neither a message that comes late nor one that is lost prolongs a run.
+func (d *Node) sendKeepalives() {
+	for vm, m := range d.keepalives() {
 		d.parts.Mesh.Spread([]netip.AddrPort{vm}, m)
 	}
 }
 
-// wanted lists the jobs at other owners that were not handed over just now and whose callers are there.
-func (d *Node) wanted() map[netip.AddrPort]*frame.Keep {
+// keepalives lists the jobs at other owners that were not handed over just now and whose callers are there.
+func (d *Node) keepalives() map[netip.AddrPort]*frame.Keepalive {
 	now := d.lock()
 	defer d.mu.Unlock()
-	all := map[netip.AddrPort]*frame.Keep{}
+	all := map[netip.AddrPort]*frame.Keepalive{}
 	for n, c := range d.calls {
-		if !c.to.IsValid() || c.to == d.cfg.VM || now.Sub(c.handed) < d.cfg.Limits.Tell()/2 || c.left() {
+		if !c.to.IsValid() || c.to == d.cfg.VM || now.Sub(c.handed) < d.cfg.Limits.Interval()/2 || c.left() {
 			continue
 		}
 		m := all[c.to]
@@ -32,7 +32,7 @@
 			if p == nil {
 				continue
 			}
-			m = &frame.Keep{To: p.Inc, Asked: p.Theirs(now)}
+			m = &frame.Keepalive{To: p.Inc, Asked: p.Theirs(now)}
 			all[c.to] = m
 		}
 		m.Calls = append(m.Calls, n)
@@ -40,11 +40,11 @@
 	return all
 }
 
-// keepOwn does the same for the jobs that this VM runs itself; the caller holds the lock.
-func (d *Node) keepOwn(now time.Time) {
+// renewOwn does the same for the jobs that this VM runs itself; the caller holds the lock.
+func (d *Node) renewOwn(now time.Time) {
 	for n, c := range d.calls {
 		if c.to == d.cfg.VM && !c.left() {
-			d.book.Keep(now, owner.Key{VM: c.to, Inc: d.cfg.Inc, Call: n}, now)
+			d.book.Keepalive(now, owner.Key{VM: c.to, Inc: d.cfg.Inc, Call: n}, now)
 		}
 	}
 }
@@ -60,8 +60,8 @@
 	return nil
 }
 
-// kept takes in which jobs another VM still waits for.
-func (d *Node) kept(from frame.Hello, m *frame.Keep) {
+// receiveKeepalive takes in which jobs another VM still waits for.
+func (d *Node) receiveKeepalive(from frame.Hello, m *frame.Keepalive) {
 	if m.To != d.cfg.Inc {
 		return
 	}
@@ -72,7 +72,7 @@
 		asked = now
 	}
 	for _, n := range m.Calls {
-		d.book.Keep(now, owner.Key{VM: from.VM, Inc: from.Inc, Call: n}, asked)
+		d.book.Keepalive(now, owner.Key{VM: from.VM, Inc: from.Inc, Call: n}, asked)
 	}
 	d.perform()
 }
--- a/internal/edge/serve/node.go
+++ b/internal/edge/serve/node.go
@@ -167,7 +167,7 @@
 	t.Every(d.ctx, view.Period, d.beat)
 	t.Every(d.ctx, tickEvery, d.tick)
 	t.Every(d.ctx, loadEvery, d.tell)
-	t.Every(d.ctx, d.cfg.Limits.Tell(), d.keep)
+	t.Every(d.ctx, d.cfg.Limits.Interval(), d.sendKeepalives)
 }
 
 // Close ends the node at once; Drain before it cuts nothing.
--- a/internal/mesh/frame/frame_test.go
+++ b/internal/mesh/frame/frame_test.go
@@ -23,7 +23,7 @@
 		&Submit{Call: 1, Req: job.Request{Tenant: "crew", Tasks: []job.Task{{Body: []byte("z")}}}},
 		&Reply{To: 3, Call: 1, Answer: job.Answer{Outcome: job.Done, Results: [][]byte{[]byte("r")}}},
 		&Told{To: 3, Call: 1, Answer: job.Answer{Outcome: job.Done}},
-		&Have{}, &Want{}, &Keep{To: 3, Asked: time.Unix(1_700_000_000, 5), Calls: []uint64{1, 2}},
+		&Have{}, &Want{}, &Keepalive{To: 3, Asked: time.Unix(1_700_000_000, 5), Calls: []uint64{1, 2}},
 	}
 }
 
--- a/internal/mesh/frame/msg.go
+++ b/internal/mesh/frame/msg.go
@@ -37,7 +37,7 @@
 	kindAsk
 	kindSeen
 	kindPacked // another message, compressed; see Pack
-	kindKeep
+	kindKeepalive
 	kinds
 )
 
@@ -217,8 +217,8 @@
 	Job  batch.Job `msgpack:"j"`
 }
 
-// Keep says which Hands the sender still waits for. What is in none for a while is not wanted.
-type Keep struct {
+// Keepalive says which Hands the sender still waits for. What is in none for a while is not wanted.
+type Keepalive struct {
 	To    uint64    `msgpack:"a"` // the receiver's incarnation
 	Asked time.Time `msgpack:"t"` // when it was sent, at the earliest, by the receiver's clock
 	Calls []uint64  `msgpack:"c"`
@@ -275,45 +275,45 @@
 	Endpoints bool `msgpack:"e,omitempty"`
 }
 
-func (*Hello) kind() kind   { return kindHello }
-func (*Beat) kind() kind    { return kindBeat }
-func (*Give) kind() kind    { return kindGive }
-func (*Took) kind() kind    { return kindTook }
-func (*Back) kind() kind    { return kindBack }
-func (*Submit) kind() kind  { return kindSubmit }
-func (*Reply) kind() kind   { return kindReply }
-func (*Have) kind() kind    { return kindHave }
-func (*Want) kind() kind    { return kindWant }
-func (*Hand) kind() kind    { return kindHand }
-func (*Told) kind() kind    { return kindTold }
-func (*Drop) kind() kind    { return kindDrop }
-func (*Load) kind() kind    { return kindLoad }
-func (*Planned) kind() kind { return kindPlanned }
-func (*Listed) kind() kind  { return kindListed }
-func (*Ask) kind() kind     { return kindAsk }
-func (*Seen) kind() kind    { return kindSeen }
-func (*Keep) kind() kind    { return kindKeep }
+func (*Hello) kind() kind     { return kindHello }
+func (*Beat) kind() kind      { return kindBeat }
+func (*Give) kind() kind      { return kindGive }
+func (*Took) kind() kind      { return kindTook }
+func (*Back) kind() kind      { return kindBack }
+func (*Submit) kind() kind    { return kindSubmit }
+func (*Reply) kind() kind     { return kindReply }
+func (*Have) kind() kind      { return kindHave }
+func (*Want) kind() kind      { return kindWant }
+func (*Hand) kind() kind      { return kindHand }
+func (*Told) kind() kind      { return kindTold }
+func (*Drop) kind() kind      { return kindDrop }
+func (*Load) kind() kind      { return kindLoad }
+func (*Planned) kind() kind   { return kindPlanned }
+func (*Listed) kind() kind    { return kindListed }
+func (*Ask) kind() kind       { return kindAsk }
+func (*Seen) kind() kind      { return kindSeen }
+func (*Keepalive) kind() kind { return kindKeepalive }
 
 // makers builds an empty message of each kind.
 var makers = [kinds]func() Msg{
-	kindHello:   func() Msg { return &Hello{} },
-	kindBeat:    func() Msg { return &Beat{} },
-	kindGive:    func() Msg { return &Give{} },
-	kindTook:    func() Msg { return &Took{} },
-	kindBack:    func() Msg { return &Back{} },
-	kindSubmit:  func() Msg { return &Submit{} },
-	kindReply:   func() Msg { return &Reply{} },
-	kindHave:    func() Msg { return &Have{} },
-	kindWant:    func() Msg { return &Want{} },
-	kindHand:    func() Msg { return &Hand{} },
-	kindTold:    func() Msg { return &Told{} },
-	kindDrop:    func() Msg { return &Drop{} },
-	kindLoad:    func() Msg { return &Load{} },
-	kindPlanned: func() Msg { return &Planned{} },
-	kindListed:  func() Msg { return &Listed{} },
-	kindAsk:     func() Msg { return &Ask{} },
-	kindSeen:    func() Msg { return &Seen{} },
-	kindKeep:    func() Msg { return &Keep{} },
+	kindHello:     func() Msg { return &Hello{} },
+	kindBeat:      func() Msg { return &Beat{} },
+	kindGive:      func() Msg { return &Give{} },
+	kindTook:      func() Msg { return &Took{} },
+	kindBack:      func() Msg { return &Back{} },
+	kindSubmit:    func() Msg { return &Submit{} },
+	kindReply:     func() Msg { return &Reply{} },
+	kindHave:      func() Msg { return &Have{} },
+	kindWant:      func() Msg { return &Want{} },
+	kindHand:      func() Msg { return &Hand{} },
+	kindTold:      func() Msg { return &Told{} },
+	kindDrop:      func() Msg { return &Drop{} },
+	kindLoad:      func() Msg { return &Load{} },
+	kindPlanned:   func() Msg { return &Planned{} },
+	kindListed:    func() Msg { return &Listed{} },
+	kindAsk:       func() Msg { return &Ask{} },
+	kindSeen:      func() Msg { return &Seen{} },
+	kindKeepalive: func() Msg { return &Keepalive{} },
 }
 
 // Purpose names the part of the control cost that a message belongs to.
@@ -323,14 +323,14 @@
 	kindHello: "link", kindBeat: "beat", kindGive: "forward", kindTook: "forward", kindBack: "forward",
 	kindSubmit: "handoff", kindReply: "handoff", kindHave: "document", kindWant: "document",
 	kindHand: "forward", kindTold: "forward", kindDrop: "forward", kindLoad: "load",
-	kindPlanned: "document", kindListed: "endpoints", kindAsk: "endpoints", kindSeen: "link", kindKeep: "forward",
+	kindPlanned: "document", kindListed: "endpoints", kindAsk: "endpoints", kindSeen: "link", kindKeepalive: "forward",
 }
 
 // Reliable reports whether a message must arrive: it is kept until the peer has
 // read it. The others are overtaken by the next of their kind.
 func Reliable(m Msg) bool {
 	switch m.(type) {
-	case *Hello, *Beat, *Want, *Load, *Planned, *Listed, *Ask, *Seen, *Keep:
+	case *Hello, *Beat, *Want, *Load, *Planned, *Listed, *Ask, *Seen, *Keepalive:
 		return false
 	default:
 		return true
--- a/internal/mesh/view/clock_test.go
+++ b/internal/mesh/view/clock_test.go
@@ -14,7 +14,7 @@
 // rounding is what the test's own clocks lose to whole nanoseconds.
 const rounding = time.Microsecond
 
-// Guards against a word that counts as newer than it is: a time is never told later than it was by the other's clock.
+// Guards against a keepalive that counts as newer than it is: a time is never told later than it was by the other's clock.
 func TestTheirClockIsNeverAheadOfTheTruth(t *testing.T) {
 	vm := netip.MustParseAddrPort("10.0.0.2:1")
 	rapid.Check(t, func(t *rapid.T) {
@@ -40,7 +40,7 @@
 	})
 }
 
-// Guards against a word that counts as newer than it is since this VM was paused: clocks drift meanwhile, though the
+// Guards against a keepalive that counts as newer than it is since this VM was paused: clocks drift meanwhile, though the
 // silence is forgiven.
 func TestPauseDoesNotHideDriftOfClocks(t *testing.T) {
 	is := is.New(t)
--- a/internal/task/lease/limits.go
+++ b/internal/task/lease/limits.go
@@ -4,12 +4,12 @@
 
 // Limits are the endpoints' and the callers' own; settings give them.
 //
-// All that keeps a run going ends with the last word of the VM that answers its job's caller: that word is good for
-// Outlive, whatever comes late or is lost. The bounds add up:
+// A run may outlive the last keepalive of the VM that answers its job's caller by Outlive, counted from when that was sent,
+// so that no message that is late or lost prolongs it. The bounds add up:
 //
-//	Doubt + the time for a stop   <= Outlive      the run is stopped, and its end is listed
+//	Expiry + the time for a stop   <= Outlive      the run is stopped, and its end is listed
 //	Fresh + Lease, on a slow clock <= Outlive      or its endpoint's lease runs out
-//	Outlive + clocks + a hang-up   <= Resend       before the caller may submit the job again
+//	Outlive + clocks + Notice      <= Resend       before the caller may submit the job again
 type Limits struct {
 	Hold time.Duration // longest lease that an endpoint grants
 	Stop time.Duration // longest time that a stop takes
@@ -31,49 +31,49 @@
 	drift = 0.02
 	// grace is added before a lease is taken to have run out: timers fire late.
 	grace = 30 * time.Millisecond
-	// pace is how much slower than a caller's clock a VM's may be.
-	pace = 0.01
+	// clockRate is how much slower than a caller's clock a VM's may be, as a part.
+	clockRate = 0.01
 	// forever stands for no bound.
 	forever = 24 * time.Hour
-	// freshPart of Outlive is how old a VM's word may be for a job to start. The rest is for the lease.
+	// freshPart of Outlive is how old a keepalive may be for a job to start. The rest is for the lease.
 	freshPart = 1.0 / 3
-	// doubtMost is the silence of a VM after which its jobs are ended at the latest: nobody waits for them.
-	doubtMost = 900 * time.Millisecond
+	// expiryMost is the silence of a VM after which its jobs are ended at the latest: nobody waits for them.
+	expiryMost = 900 * time.Millisecond
 	// confirmMost is how long the end of a run takes to be listed, with orders that are repeated, and
 	// confirmPart the part of Outlive that is kept for it.
 	confirmMost = 300 * time.Millisecond
 	confirmPart = 1.0 / 3
 	// stops is how many times the longest stop is kept for it at least.
 	stops = 2
-	// tells is how many words a VM sends while one is fresh, tellMost the longest pause between two.
-	tells    = 2.5
-	tellMost = 150 * time.Millisecond
+	// intervals is how many keepalives are sent while one is fresh, intervalMost the longest pause between two.
+	intervals    = 2.5
+	intervalMost = 150 * time.Millisecond
 )
 
-// Outlive is how long after the last word of its caller's VM a run may go on.
+// Outlive is how long after the last keepalive of its caller's VM a run may go on.
 func (l Limits) Outlive() time.Duration {
 	if l.Resend <= 0 {
 		return forever
 	}
-	return scaled(l.Resend, 1-pace) - l.Notice
+	return scaled(l.Resend, 1-clockRate) - l.Notice
 }
 
-// Fresh is how old the word of a job's VM may be for its tasks to be started.
+// Fresh is how old a job's last keepalive may be for its tasks to be started.
 func (l Limits) Fresh() time.Duration {
-	return min(scaled(l.Outlive(), freshPart), l.Doubt()/2)
+	return min(scaled(l.Outlive(), freshPart), l.Expiry()/2)
 }
 
-// Doubt is how old the word of a job's VM is when the job is ended.
-func (l Limits) Doubt() time.Duration {
+// Expiry is how old a job's last keepalive is when the job is ended.
+func (l Limits) Expiry() time.Duration {
 	o := l.Outlive()
 	if o == forever {
 		return forever
 	}
-	return min(doubtMost, o-max(stops*l.Stop, min(confirmMost, scaled(o, confirmPart))))
+	return min(expiryMost, o-max(stops*l.Stop, min(confirmMost, scaled(o, confirmPart))))
 }
 
-// Tell is the pause between two words of a VM on the jobs that it waits for.
-func (l Limits) Tell() time.Duration { return min(tellMost, scaled(l.Fresh(), 1/tells)) }
+// Interval is the pause between two keepalives.
+func (l Limits) Interval() time.Duration { return min(intervalMost, scaled(l.Fresh(), 1/intervals)) }
 
 // Lease is the longest that is asked for, on the endpoint's clock.
 func (l Limits) Lease() time.Duration {
--- a/internal/task/lease/limits_test.go
+++ b/internal/task/lease/limits_test.go
@@ -21,10 +21,10 @@
 		slowest := time.Duration(float64(l.Lease())/(1-drift)) + grace // that a lease may last
 		is.True(l.Lease() > 0)
 		is.True(l.Fresh()+slowest <= l.Outlive())
-		is.True(l.Doubt()+l.Stop < l.Outlive()) // a stop has time
-		is.True(l.Fresh() < l.Doubt())
+		is.True(l.Expiry()+l.Stop < l.Outlive()) // a stop has time
+		is.True(l.Fresh() < l.Expiry())
 		is.True(l.Outlive()+l.Notice <= l.Resend)
-		is.True(2*l.Tell() <= l.Fresh()) // one word in two may be lost
+		is.True(2*l.Interval() <= l.Fresh()) // one keepalive in two may be lost
 	})
 }
 
--- a/internal/task/owner/book.go
+++ b/internal/task/owner/book.go
@@ -72,7 +72,7 @@
 	// Orders is how long the last of so many orders takes if they are sent now; nil if they take
 	// next to nothing.
 	Orders func(n int) time.Duration
-	// Outlived is told how long after the last word of a job's VM the last run ended of a job that ended
+	// Outlived is told how long after a job's last keepalive the last of its runs ended, of a job that ended
 	// before its runs; may be nil.
 	Outlived func(d time.Duration)
 }
@@ -163,7 +163,7 @@
 	e.told, e.ended = true, now
 	b.cfg.Log.Info("job ended", "job", e.ID, "outcome", a.Outcome.String(), "reason", string(a.Reason), "detail", a.Detail,
 		"age", now.Sub(e.came).Round(time.Millisecond), "aim", e.aim.Sub(now).Round(time.Millisecond), "late", e.late, "starts", e.starts,
-		"slowest", e.slowest.Round(time.Millisecond), "endpoint", e.slowAt, "runs", len(e.runs), "word", now.Sub(e.word).Round(time.Millisecond))
+		"slowest", e.slowest.Round(time.Millisecond), "endpoint", e.slowAt, "runs", len(e.runs), "asked", now.Sub(e.asked).Round(time.Millisecond))
 	b.acts.Tells = append(b.acts.Tells, Tell{e.key, a})
 	b.queue = slices.DeleteFunc(b.queue, func(x *entry) bool { return x == e })
 	for r, ep := range e.runs {
@@ -201,9 +201,9 @@
 
 // outlived tells how long the runs of a job went on that ended before them.
 func (b *Book) outlived(now time.Time, e *entry) {
-	b.cfg.Log.Info("runs over", "job", e.ID, "by", e.key.VM, "after", now.Sub(e.ended).Round(time.Millisecond), "word", now.Sub(e.word).Round(time.Millisecond))
+	b.cfg.Log.Info("runs over", "job", e.ID, "by", e.key.VM, "after", now.Sub(e.ended).Round(time.Millisecond), "asked", now.Sub(e.asked).Round(time.Millisecond))
 	if b.cfg.Outlived != nil {
-		b.cfg.Outlived(now.Sub(e.word))
+		b.cfg.Outlived(now.Sub(e.asked))
 	}
 }
 
--- a/internal/task/owner/job.go
+++ b/internal/task/owner/job.go
@@ -35,18 +35,18 @@
 	slowest time.Duration
 	slowAt  string
 	ended   time.Time // when the job got its answer
-	word    time.Time // when the VM that answers the caller last asked for the job, by this VM's clock
+	asked   time.Time // when the VM that answers the caller last asked for the job, by this VM's clock
 	limits  lease.Limits
 }
 
 // By implements lease.Job.
-func (e *entry) By() time.Time { return e.word.Add(e.limits.Outlive()) }
+func (e *entry) By() time.Time { return e.asked.Add(e.limits.Outlive()) }
 
 // fresh reports whether the job's tasks may be started.
-func (e *entry) fresh(now time.Time) bool { return now.Sub(e.word) <= e.limits.Fresh() }
+func (e *entry) fresh(now time.Time) bool { return now.Sub(e.asked) <= e.limits.Fresh() }
 
-// doubted reports whether the VM that answers the caller was silent for so long that the job must end.
-func (e *entry) doubted(now time.Time) bool { return now.Sub(e.word) >= e.limits.Doubt() }
+// expired reports whether the VM that answers the caller was silent for so long that the job must end.
+func (e *entry) expired(now time.Time) bool { return now.Sub(e.asked) >= e.limits.Expiry() }
 
 type step struct {
 	waiting []int // tasks to start, last one first
@@ -63,7 +63,7 @@
 	}
 	came := asked.Add(-j.Age)
 	e := &entry{
-		Job: j, key: key, came: came, due: asked.Add(j.Left), word: asked, limits: limits, steps: make([]step, len(j.Steps)), left: len(j.Steps),
+		Job: j, key: key, came: came, due: asked.Add(j.Left), asked: asked, limits: limits, steps: make([]step, len(j.Steps)), left: len(j.Steps),
 		aim:  came.Add(j.Aim(work) - j.Waited),
 		runs: map[*lease.Run]*lease.Endpoint{},
 	}
--- a/internal/task/owner/word_test.go
+++ b/internal/task/owner/keepalive_test.go
@@ -13,7 +13,7 @@
 	"dahliawinch/internal/task/lease"
 )
 
-// How long runs outlive the last word of their caller's VM is told when the last of them ends.
+// How long runs outlive the last keepalive of their job is told when the last of them ends.
 func TestOutlivedRunsAreTold(t *testing.T) {
 	is := is.New(t)
 	b := bench(64)
@@ -78,21 +78,21 @@
 	begin(b, t0, b.Take().Starts)
 	now := t0
 	for ; now.Before(t0.Add(2 * time.Second)); now = now.Add(150 * time.Millisecond) {
-		b.Keep(now, key(1), now.Add(-100*time.Millisecond))
+		b.Keepalive(now, key(1), now.Add(-100*time.Millisecond))
 		b.Tick(now)
 		is.Equal(len(b.Take().Stops), 0)
 	}
 	last := now.Add(-250 * time.Millisecond)
-	b.Tick(last.Add(b.cfg.Limits.Doubt() - time.Millisecond))
+	b.Tick(last.Add(b.cfg.Limits.Expiry() - time.Millisecond))
 	is.Equal(len(b.Take().Stops), 0)
-	b.Tick(last.Add(b.cfg.Limits.Doubt()))
+	b.Tick(last.Add(b.cfg.Limits.Expiry()))
 	acts := b.Take()
 	is.Equal(len(acts.Stops), 1)
 	is.Equal(acts.Tells[0].Answer.Outcome, job.Unknown)
 }
 
-// Guards against a start on a word that is too old for a lease to end in time.
-func TestTasksStartOnAFreshWordOnly(t *testing.T) {
+// Guards against a start on a keepalive that is too old for a lease to end in time.
+func TestTasksStartOnAFreshKeepaliveOnly(t *testing.T) {
 	is := is.New(t)
 	b := resending(30, 300*time.Millisecond) // one task fills it
 	first := b.Take().Starts
@@ -103,12 +103,12 @@
 	now := t0.Add(b.cfg.Limits.Fresh() + time.Millisecond)
 	finish(b, now, first[0], lease.Done)
 	is.Equal(len(b.Take().Starts), 0)
-	b.Keep(now, key(2), now.Add(-10*time.Millisecond))
+	b.Keepalive(now, key(2), now.Add(-10*time.Millisecond))
 	is.Equal(len(b.Take().Starts), 1)
 }
 
 // Guards against a start at a time read before a pause, on an endpoint whose lease was renewed after it.
-func TestRunStartedAtAnOldTimeEndsWithItsWord(t *testing.T) {
+func TestNoRunStartsUnderALeaseBeyondItsKeepalive(t *testing.T) {
 	is := is.New(t)
 	b := resending(96, 5*time.Second)
 	begin(b, t0, b.Take().Starts)
@@ -116,7 +116,7 @@
 	asked := t0.Add(200 * time.Millisecond)
 	old := asked.Add(b.cfg.Limits.Fresh())
 	woke := old.Add(700 * time.Millisecond)
-	b.Keep(woke, key(1), woke)
+	b.Keepalive(woke, key(1), woke)
 	ep.Until(woke)
 	b.Submit(old, key(2), askedAt(asked, of("k1", 0, tasks(1, 30, 5*time.Second))))
 	is.Equal(len(b.Take().Starts), 0)
--- a/internal/task/owner/review.go
+++ b/internal/task/owner/review.go
@@ -19,14 +19,14 @@
 	b.pump(now)
 }
 
-// Keep takes in that the VM that answers a job's caller still waited for it at a time, by this VM's clock.
-func (b *Book) Keep(now time.Time, key Key, asked time.Time) {
+// Keepalive takes in that the VM that answers a job's caller still waited for it at a time, by this VM's clock.
+func (b *Book) Keepalive(now time.Time, key Key, asked time.Time) {
 	e := b.jobs[key]
-	if e == nil || e.told || !asked.After(e.word) {
+	if e == nil || e.told || !asked.After(e.asked) {
 		return
 	}
 	was := e.fresh(now)
-	e.word = asked
+	e.asked = asked
 	if !was && e.fresh(now) {
 		b.pump(now)
 	}
@@ -70,7 +70,7 @@
 		for r, ep := range e.runs { // a stop may be lost
 			b.stop(ep, r)
 		}
-	case e.doubted(now):
+	case e.expired(now):
 		b.finish(now, e, job.Answer{Outcome: e.outcome(), Reason: job.Silent, Detail: "its VM is silent"})
 	case !now.Before(e.due):
 		b.finish(now, e, job.Answer{Outcome: e.outcome(), Reason: job.Deadline, Detail: "its time ran out"})
--- a/internal/task/owner/take.go
+++ b/internal/task/owner/take.go
@@ -17,7 +17,7 @@
 			b.finish(now, old, job.Answer{Outcome: job.Unknown, Reason: job.StillRuns, Detail: "the same job was submitted again"})
 		}
 		if len(old.runs) > 0 {
-			b.cfg.Log.Info("job still runs", "job", j.ID, "by", key.VM, "runs", len(old.runs), "word", now.Sub(old.word).Round(time.Millisecond))
+			b.cfg.Log.Info("job still runs", "job", j.ID, "by", key.VM, "runs", len(old.runs), "asked", now.Sub(old.asked).Round(time.Millisecond))
 			b.acts.Tells = append(b.acts.Tells, Tell{key, job.Answer{Outcome: job.Unknown, Reason: job.StillRuns, Retry: b.runsFor(now, old), Detail: "a run of the same job is being stopped"}})
 			return
 		}
--- a/internal/tool/model/entry.go
+++ b/internal/tool/model/entry.go
@@ -40,7 +40,7 @@
 }
 
 // tell is the pause between two words.
-var tell = (limits.Tell() + step - 1).Truncate(step)
+var tell = (limits.Interval() + step - 1).Truncate(step)
 
 // due returns the number of the word that is due, 0 if none is.
 func (e *entry) due() int {
@@ -189,7 +189,7 @@
 			asked = e.w.now
 		}
 		e.read = timer.Later(e.read, asked)
-		o.book.Keep(e.w.now, o.key(), asked)
+		o.book.Keepalive(e.w.now, o.key(), asked)
 	})
 }
 
@@ -266,9 +266,9 @@
 
 // keepOwn asks for the jobs whose callers are at the VM itself, and also for one whose caller has left unnoticed.
 func (v *vm) keepOwn() {
-	v.book.Keep(v.w.now, v.ownKey(), v.w.now)
+	v.book.Keepalive(v.w.now, v.ownKey(), v.w.now)
 	if v.n == 1 || v.w.entry == nil {
-		v.book.Keep(v.w.now, v.key(), v.w.now)
+		v.book.Keepalive(v.w.now, v.key(), v.w.now)
 	}
 }
 
