Judge: nothing of a job may run when its caller comes again

A run that goes on beyond the caller's 1.3 s was seen only if the next submission happened to start the same task meanwhile.

Change: callers of the grid and of the soak tell the judge before they submit a job anew, and it counts each run of the job that goes on then. It asks for more than before; no check is dropped.

--- a/internal/tool/grid/judge.go
+++ b/internal/tool/grid/judge.go
@@ -141,6 +141,17 @@
 	}
 }
 
+// Again notes that a caller submits its job anew: by then nothing of it may run.
+func (j *Judge) Again(id string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for task, eps := range j.live {
+		if len(eps) > 0 && jobOf(task) == id {
+			j.broken = append(j.broken, fmt.Sprintf("outlives: %s runs on %v when its caller comes again", task, eps))
+		}
+	}
+}
+
 // Broken lists the promises that were broken.
 func (j *Judge) Broken() []string {
 	j.mu.Lock()
--- a/internal/tool/grid/load.go
+++ b/internal/tool/grid/load.go
@@ -177,6 +177,7 @@
 	told := res.Answer
 	for g.Again && res.gone() && time.Since(began)+again < left {
 		time.Sleep(again)
+		g.Judge.Again(j.ID)
 		res.Answer = g.try(kind, j, domain, left-time.Since(began))
 		if res.Answer.Outcome != job.Refused { // that speaks of its own submission only
 			told = res.Answer
@@ -187,6 +188,7 @@
 			break
 		}
 		time.Sleep(again)
+		g.Judge.Again(j.ID)
 		if res.Answer = g.try(kind, j, domain, left); res.Answer.Outcome != job.Refused {
 			told = res.Answer
 		}
--- a/internal/tool/soak/load.go
+++ b/internal/tool/soak/load.go
@@ -62,6 +62,10 @@
 func (s *Soak) submit(clients []*fasthttp.HostClient, first int, path, id string, tasks int, wait time.Duration, body []byte) {
 	a := job.Answer{Outcome: job.Refused}
 	for t := range tries {
+		if t > 0 {
+			time.Sleep(again)
+			s.judge.Again(id)
+		}
 		out := stand.Submit(clients[(first+t)%len(clients)], host, path, body, wait)
 		if out != job.Refused {
 			a.Outcome = out // refused only if all tries were
@@ -69,7 +73,6 @@
 		if out != job.Unknown {
 			break
 		}
-		time.Sleep(again)
 	}
 	s.judge.Answered(id, tasks, a)
 	s.mu.Lock()
