Soak: report how long runs outlived the last word of their callers' VMs

Daemons count it since (dahliawinch_outlived_seconds); the soak did not read it.

Change: daemons get a metrics address, and each seed's line has the bound of the highest bucket of any daemon that counted, as of the end of the run; a daemon that was restarted has counted since. A daemon whose metrics can't be read then fails the seed.

--- /dev/null
+++ b/internal/tool/soak/outlive_test.go
@@ -0,0 +1,23 @@
+package soak
+
+import (
+	"testing"
+	"time"
+)
+
+// Guards against a report of runs that ended in time when none was counted there.
+func TestHighestBucketIsOneThatCounted(t *testing.T) {
+	const head = `dahliawinch_outlived_seconds_bucket{le="0.1"} 2
+dahliawinch_outlived_seconds_bucket{le="1.0999999999999999"} 3
+dahliawinch_outlived_seconds_bucket{le="1.2"} 3
+`
+	for text, want := range map[string]time.Duration{
+		"": 0,
+		head + `dahliawinch_outlived_seconds_bucket{le="+Inf"} 3`: 1100 * time.Millisecond,
+		head + `dahliawinch_outlived_seconds_bucket{le="+Inf"} 4`: time.Hour,
+	} {
+		if got, err := highest([]byte(text)); err != nil || got != want {
+			t.Errorf("%s, %v of %q, want %s", got, err, text, want)
+		}
+	}
+}
--- a/internal/tool/soak/soak.go
+++ b/internal/tool/soak/soak.go
@@ -42,6 +42,8 @@
 	Outcomes map[job.Outcome]int
 	Starts   int
 	Broken   []string
+	// Outlived bounds how long runs went on after the last word of their callers' VMs, as far as daemons tell at the end.
+	Outlived time.Duration
 }
 
 const (
@@ -118,6 +120,10 @@
 	if n := s.judge.Running(); n > 0 {
 		rep.Broken = append(rep.Broken, fmt.Sprintf("%d runs never ended", n))
 	}
+	var err error
+	if rep.Outlived, err = s.outlived(); err != nil {
+		return rep, fmt.Errorf("soak seed %d: %w", o.Seed, err)
+	}
 	return rep, nil
 }
 
@@ -185,14 +191,14 @@
 	if err != nil {
 		return nil, fmt.Errorf("store: %w", err)
 	}
-	var at [3]netip.AddrPort
+	var at [4]netip.AddrPort
 	for k := range at {
 		if at[k], err = local.Spare(); err != nil {
 			return nil, err
 		}
 	}
 	v := &vm{n: i, callers: at[0], vault: vault, settings: filepath.Join(s.Dir, fmt.Sprintf("vm-%d.json", i)), set: map[string]any{
-		"name": fmt.Sprint("vm-", i), "domain": s.domain(i), "caller": at[0], "ready": at[1], "mesh": at[2], "store": vault.l.Addr().String(),
+		"name": fmt.Sprint("vm-", i), "domain": s.domain(i), "caller": at[0], "ready": at[1], "mesh": at[2], "metrics": at[3], "store": vault.l.Addr().String(),
 	}}
 	if err = v.write(v.set); err != nil {
 		return nil, err
--- a/internal/tool/soak/soak_test.go
+++ b/internal/tool/soak/soak_test.go
@@ -52,7 +52,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			t.Logf("%v starts %d faults %q", r.Outcomes, r.Starts, r.Faults)
+			t.Logf("%v starts %d outlived at most %s faults %q", r.Outcomes, r.Starts, r.Outlived, r.Faults)
 			for _, b := range r.Broken {
 				t.Error(b)
 			}
