The histogram of outlived runs goes by the lease, not by when the owner learned of the end

Change: a run has ended by the end of its endpoint's lease if that is earlier than when its end was learned; the log says by how much ('learned'). TestOutlivedGoesByTheLease.

--- a/internal/base/meter/meter.go
+++ b/internal/base/meter/meter.go
@@ -76,7 +76,7 @@
 	m.run = hist("run_seconds", "From a task's send to its answer.", times)
 	m.ratio = hist("ratio", "Response over the longest run of the job's tasks.", prometheus.ExponentialBuckets(1, 1.15, 24))
 	m.outlived = prometheus.NewHistogram(prometheus.HistogramOpts{
-		Name: "dahliawinch_outlived_seconds", Help: "From a job's last keepalive to the end of its last run, of jobs that ended before their runs.",
+		Name: "dahliawinch_outlived_seconds", Help: "From a job's last keepalive to by when its last run had ended, of jobs that ended before their runs.",
 		Buckets: prometheus.LinearBuckets(0.1, 0.1, 20),
 	})
 	m.outcomes = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "dahliawinch_jobs_total", Help: "Answered jobs."}, []string{"tenant", "class", "outcome", "reason"})
--- a/internal/task/owner/book.go
+++ b/internal/task/owner/book.go
@@ -201,9 +201,10 @@
 
 // outlived tells how long the runs of a job went on that ended before them.
 func (b *Book) outlived(now time.Time, e *entry) {
-	b.cfg.Log.Info("runs over", "job", e.ID, "by", e.key.VM, "after", now.Sub(e.ended).Round(time.Millisecond), "asked", now.Sub(e.asked).Round(time.Millisecond))
+	b.cfg.Log.Info("runs over", "job", e.ID, "by", e.key.VM, "after", e.over.Sub(e.ended).Round(time.Millisecond), "asked", e.over.Sub(e.asked).Round(time.Millisecond),
+		"learned", now.Sub(e.over).Round(time.Millisecond))
 	if b.cfg.Outlived != nil {
-		b.cfg.Outlived(now.Sub(e.asked))
+		b.cfg.Outlived(e.over.Sub(e.asked))
 	}
 }
 
--- a/internal/task/owner/events.go
+++ b/internal/task/owner/events.go
@@ -159,6 +159,7 @@
 	r := f.Run
 	e := r.Job.(*entry)
 	delete(e.runs, r)
+	e.over = timer.Later(e.over, s.endedBy(now))
 	if f.How != lease.Never {
 		e.begun = true
 	}
--- a/internal/task/owner/job.go
+++ b/internal/task/owner/job.go
@@ -35,6 +35,7 @@
 	slowest time.Duration
 	slowAt  string
 	ended   time.Time // when the job got its answer
+	over    time.Time // by when the last of its runs had ended
 	asked   time.Time // when the VM that answers the caller last asked for the job, by this VM's clock
 	limits  lease.Limits
 }
--- a/internal/task/owner/keepalive_test.go
+++ b/internal/task/owner/keepalive_test.go
@@ -32,6 +32,22 @@
 	is.Equal(told, []time.Duration{390 * time.Millisecond})
 }
 
+// Guards against a histogram that counts how long an owner stood still after the lease of its runs had run out.
+func TestOutlivedGoesByTheLease(t *testing.T) {
+	is := is.New(t)
+	b := resending(64, 5*time.Second)
+	var told []time.Duration
+	b.cfg.Outlived = func(d time.Duration) { told = append(told, d) }
+	begin(b, t0, b.Take().Starts)
+	ep := b.Find("e")
+	lapse := ep.Lapse()
+	ep.Missed = quietAfter
+	b.Quiet(t0.Add(100*time.Millisecond), ep, errMute)
+	b.Cancel(t0.Add(200*time.Millisecond), key(1), "its caller left")
+	b.Tick(t0.Add(5 * time.Second)) // it stood still
+	is.Equal(told, []time.Duration{lapse.Sub(t0)})
+}
+
 // resending is a book whose callers submit again after 1.3 s, with a job of another VM that asked for it at t0.
 func resending(cores float64, run time.Duration) *Book {
 	b := bench(cores)
--- a/internal/task/owner/sites.go
+++ b/internal/task/owner/sites.go
@@ -123,6 +123,14 @@
 	return nil
 }
 
+// endedBy is by when a run had ended here that is known to be over: with its lease, also when this VM learns of it later.
+func (s *site) endedBy(now time.Time) time.Time {
+	if lapse := s.Lapse(); !lapse.IsZero() && lapse.Before(now) {
+		return lapse
+	}
+	return now
+}
+
 func (b *Book) wake(s *site) {
 	b.acts.Wakes = append(b.acts.Wakes, Wake{s.Endpoint})
 }
