--- a/internal/edge/serve/beat.go
+++ b/internal/edge/serve/beat.go
@@ -92,7 +92,7 @@
 	}
 	if c.Reborn {
 		d.table.Forget(c.VM)
-		d.loseOwner(now, c.VM, c.Inc, "the owner was restarted")
+		d.loseOwner(c.VM, "the owner was restarted")
 		d.book.CancelOf(now, func(k owner.Key) bool { return k.VM == c.VM && k.Inc != c.Inc }, "its VM was restarted")
 	}
 	d.perform()
@@ -105,7 +105,7 @@
 			continue
 		}
 		d.table.Forget(m.VM)
-		d.loseOwner(now, m.VM, 0, "the owner is silent")
+		d.loseOwner(m.VM, "the owner is silent")
 	}
 }
 
--- a/internal/edge/serve/submit.go
+++ b/internal/edge/serve/submit.go
@@ -321,14 +321,14 @@
 	}
 	if c.to.IsValid() {
 		if err := d.parts.Mesh.Cast(c.to, &frame.Drop{At: d.now(), Call: c.n}); err != nil {
-			d.log.Info("owner not told", "job", c.job.ID, "owner", c.to, "err", err) // it stops the job by its deadline or our silence
+			d.log.Info("owner not told", "job", c.job.ID, "owner", c.to, "err", err) // it ends the job without keepalives
 		}
 	}
 }
 
 // loseOwner answers the calls that an owner had which is gone. What it started may
 // still run until its leases end, so nobody may be told that it did not.
-func (d *Node) loseOwner(_ time.Time, vm netip.AddrPort, _ uint64, why string) {
+func (d *Node) loseOwner(vm netip.AddrPort, why string) {
 	for _, c := range d.calls {
 		if c.to == vm && !c.ended {
 			d.drop(c, job.Answer{Outcome: job.Unknown, Reason: job.Silent, Detail: why})
--- a/internal/mesh/link/hub.go
+++ b/internal/mesh/link/hub.go
@@ -49,8 +49,8 @@
 	// ackWait is how long a sender does without any word of the peer before it takes the
 	// connection for silent and opens a new one, and ackMost how long without an
 	// acknowledgement while the peer speaks over its own link: something on the way has
-	// forgotten this connection alone. A VM stops the jobs of one that it did not hear for
-	// 0.9 s.
+	// forgotten this connection alone. An owner ends the jobs of a VM whose keepalives stay
+	// out for that long and half as long again.
 	ackWait = 500 * time.Millisecond
 	ackMost = ackRest + 3*ackEvery
 	// redial is the pause after a lost link; it doubles up to redialTop, and half of
