--- a/internal/edge/serve/told_test.go
+++ b/internal/edge/serve/told_test.go
@@ -17,24 +17,13 @@
 	"dahliawinch/internal/task/owner"
 )
 
-// told notes what is cast.
-type told struct {
-	casts
-	all []frame.Msg
-}
-
-func (c *told) Cast(_ netip.AddrPort, m frame.Msg) error {
-	c.all = append(c.all, m)
-	return nil
-}
-
 // Guards against a job that runs twice, or is refused though it began, since the answer to a call of its VM's life before
 // was taken for that to its own call of the same number.
 func TestAnswerToAnEarlierLifeIsNotTaken(t *testing.T) {
 	is := is.New(t)
 	at := func(n byte) netip.AddrPort { return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, n}), 1) }
-	node := func(vm netip.AddrPort, inc uint64) (*Node, *told) {
-		mesh := &told{}
+	node := func(vm netip.AddrPort, inc uint64) (*Node, *mail) {
+		mesh := &mail{}
 		return NewNode(t.Context(), Config{VM: vm, Domain: "a", Inc: inc, Limits: lease.Limits{Hold: time.Second, Stop: 50 * time.Millisecond, Resend: 1300 * time.Millisecond}}, Parts{
 			Mesh: mesh, Timers: timer.New(timer.Wall{}), Clock: timer.Wall{}, Meter: meter.New(), Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
 		}), mesh
