Tests of daemons: ports come from blocks that one process holds

Both restart a VM at its own ports after some seconds; meanwhile another process (the soak, which had gone through some thousand ports) was given them, since a port counts as spare while nobody listens. The first port of a process came from its pid alone.

Change: a process holds blocks of 250 ports, each by listening on a port of its own below them.

--- a/internal/tool/local/local.go
+++ b/internal/tool/local/local.go
@@ -10,7 +10,7 @@
 	"net"
 	"net/netip"
 	"os"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -97,18 +97,64 @@
 // and the daemon would fail to listen.
 const (
 	lowPort = 10_000
-	ports   = 20_000
+	blocks  = 80
+	block   = 250 // ports
 )
 
-var nextPort atomic.Uint32
+// reserve has the blocks of ports of this process, which holds each by listening on a port of its own below them:
+// a daemon that is restarted must find its ports free, also when other processes look for some.
+type reserve struct {
+	mu   sync.Mutex
+	held []held
+	next int // port of the last block
+}
+
+type held struct {
+	first int
+	mark  net.Listener
+}
+
+var spare reserve
+
+// port returns the next port. Once no block is free they come round again.
+func (r *reserve) port() (uint16, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.held) == 0 || r.next == block {
+		if err := r.more(); err != nil && len(r.held) == 0 {
+			return 0, err
+		}
+		r.next = 0
+	}
+	r.next++
+	return uint16(r.held[len(r.held)-1].first + r.next - 1), nil
+}
 
-func init() { nextPort.Store(uint32(os.Getpid()*61) % ports) }
+// more takes a block that no process holds, or the oldest of this one.
+func (r *reserve) more() (err error) {
+	for i := range blocks {
+		n := (os.Getpid() + i) % blocks
+		var l net.Listener
+		if l, err = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", lowPort-blocks+n)); err == nil {
+			r.held = append(r.held, held{lowPort + n*block, l})
+			return nil
+		}
+	}
+	if len(r.held) > 0 {
+		r.held = append(r.held[1:], r.held[0])
+	}
+	return fmt.Errorf("no block of ports: %w", err)
+}
 
-// Spare finds a free port on loopback that no other deployment of this process gets.
+// Spare finds a free port on loopback that no other deployment gets.
 func Spare() (netip.AddrPort, error) {
 	var last error
 	for range 100 {
-		at := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(lowPort+nextPort.Add(1)%ports))
+		n, err := spare.port()
+		if err != nil {
+			return netip.AddrPort{}, err
+		}
+		at := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), n)
 		l, err := net.Listen("tcp", at.String())
 		if err != nil {
 			last = err
