--- a/internal/tool/soak/soak.go
+++ b/internal/tool/soak/soak.go
@@ -42,7 +42,7 @@
 	Outcomes map[job.Outcome]int
 	Starts   int
 	Broken   []string
-	// Outlived bounds how long runs went on after the last word of their callers' VMs, as far as daemons tell at the end.
+	// Outlived bounds how long runs went on after the last keepalive of their job, as far as daemons tell at the end.
 	Outlived time.Duration
 }
 
--- a/internal/tool/soak/soak_test.go
+++ b/internal/tool/soak/soak_test.go
@@ -56,6 +56,9 @@
 			for _, b := range r.Broken {
 				t.Error(b)
 			}
+			if r.Outlived > again { // no bucket ends between the bound and the callers' time
+				t.Errorf("runs outlived the last keepalive of their job by up to %s", r.Outlived)
+			}
 			if r.Outcomes[job.Done] == 0 {
 				t.Error("no job was done")
 			}
