Grid: the balancer goes by addresses, as the platform's does

Cause: the grid's balancer forgot an address when its VM was restarted. A new process got callers at once, before it had been found ready, and for good if it never was. The users' PROTOCOL.md says: after two misses a daemon gets no new channels until it responds with 200 again; a process that was down for two looks is out until it is ready.

Change: what is known of an address passes to the next process there; one that was down for two looks starts without callers. If no VM at all gets callers, all that run do, as before.

--- a/internal/tool/grid/grid.go
+++ b/internal/tool/grid/grid.go
@@ -203,6 +203,7 @@
 		},
 		Mesh: &post{g: g, from: v, links: map[*VM]*link{}}, Timers: timers, Clock: timer.Wall{}, Meter: meter.New(), Log: log,
 	})
+	g.remember(v)
 	g.mu.Lock()
 	g.vms = append(g.vms, v)
 	g.mu.Unlock()
@@ -221,22 +222,38 @@
 	return v
 }
 
-// The balancer looks at a VM each balanceEvery and goes by two looks.
-const balanceEvery = time.Second
+// The balancer looks at an address each balanceEvery. After balanceMisses in a row it sends no callers there
+// until it finds a VM ready.
+const (
+	balanceEvery  = time.Second
+	balanceMisses = 2
+)
+
+// remember takes over what the balancer knows of a VM's address from the VM's former life.
+func (g *Grid) remember(v *VM) {
+	was := g.at(v.Mesh)
+	if was == nil || !was.known.Load() {
+		return
+	}
+	v.known.Store(true)
+	v.shunned.Store(was.shunned.Load() || time.Since(was.died) >= balanceMisses*balanceEvery)
+}
 
-// balance sends no callers to a VM that was ready and is not any more.
+// balance sends no callers to a VM that was ready, or was so in a former life, and is not any more.
 func (g *Grid) balance(ctx context.Context, v *VM) {
 	t := time.NewTicker(balanceEvery)
 	defer t.Stop()
-	for was, known := true, false; ; {
+	for was := !v.shunned.Load(); ; {
 		select {
 		case <-ctx.Done():
 			return
 		case <-t.C:
 		}
 		is := v.Node.Ready()
-		known = known || is
-		v.shunned.Store(known && !is && !was)
+		if is {
+			v.known.Store(true)
+		}
+		v.shunned.Store(v.known.Load() && !is && !was)
 		was = is
 	}
 }
--- a/internal/tool/grid/load.go
+++ b/internal/tool/grid/load.go
@@ -270,6 +270,13 @@
 			near = append(near, v)
 		}
 	}
+	if len(all) == 0 { // it has none to prefer
+		for _, v := range g.vms {
+			if !v.dead.Load() && v.ready.Load() {
+				all = append(all, v)
+			}
+		}
+	}
 	g.mu.Unlock()
 	if len(near) == 0 {
 		near = all
--- a/internal/tool/grid/net.go
+++ b/internal/tool/grid/net.go
@@ -84,8 +84,9 @@
 	orders atomic.Int64
 	alone  atomic.Bool // no message passes between it and other VMs
 	deaf   atomic.Bool // no message of other VMs reaches it
-	// shunned is set while the balancer finds the VM not ready.
-	shunned atomic.Bool
+	// known is set once the balancer has found a VM ready at the address, shunned while it sends it no callers.
+	known, shunned atomic.Bool
+	died           time.Time // for Boot
 }
 
 var (
--- a/internal/tool/grid/steps.go
+++ b/internal/tool/grid/steps.go
@@ -65,6 +65,7 @@
 // Kill ends a VM without a word.
 func (g *Grid) Kill(v *VM) {
 	v.ready.Store(false)
+	v.died = time.Now()
 	v.dead.Store(true)
 	v.cancel()
 	v.Node.Close()
