A VM that hears no neighbour asks through the store who is there

Callers saw: a VM that was restarted while its messages to others were lost took the endpoints of a living neighbour, whose jobs failed (1 to 3 of 431). And when all VMs but one were lost, the last was not ready for 30 s if it owned none.

Cause: silence is all that such a VM went by, and it looks the same when the VM is cut off and when the others are lost. Evidence: "group ... no VM owns it" 0.25 s after the start, in the moment in which two dials have stayed unanswered and Absent turns true; "vm isolated on=true" and no group at the survivor.

Change: while none of its neighbours is heard, a VM posts a question to a topic of the store, which it reaches in both cases, and two VMs of each failure domain wait for such questions. An owner's answer makes it defer: it claims nothing of its domain, is not ready and refuses at once. No answer within 0.2 s, or five times what the question took, makes it the heir, also if it seems isolated. A refused dial is no reason to ask: that machine answered.

Why it holds: the answer comes from the owner itself and not from a time of waiting.

The same elsewhere: two VMs of which one is cut off, and VMs of one domain alone, took each other's endpoints after 3 s (48 groups). They ask as well.

--- a/internal/cli/daemon/daemon.go
+++ b/internal/cli/daemon/daemon.go
@@ -55,7 +55,7 @@
 	go lines.Run(logs)
 	store := platform.NewStore(set.Store)
 	d, err := serve.New(kill, set, serve.Platform{
-		Agent: platform.NewWorkers(), Plans: store.Plans(), Endpoints: store.Endpoints(), VMs: store.VMs(),
+		Agent: platform.NewWorkers(), Plans: store.Plans(), Endpoints: store.Endpoints(), VMs: store.VMs(), Presence: store.Presence(),
 		Callers: platform.Callers, Ready: platform.Ready,
 	}, log)
 	if err != nil {
--- a/internal/edge/serve/follow.go
+++ b/internal/edge/serve/follow.go
@@ -34,6 +34,7 @@
 	d.wg.Go(func() { eps.Run(d.ctx) })
 	d.wg.Go(func() { vms.Run(d.ctx) })
 	d.wg.Go(d.register)
+	d.wg.Go(d.answerProbes)
 }
 
 // registerEvery is the pause between tries to tell the store of this VM.
--- a/internal/edge/serve/node.go
+++ b/internal/edge/serve/node.go
@@ -56,6 +56,8 @@
 	Spread(to []netip.AddrPort, m frame.Msg)
 	// Absent reports whether a VM's machine does not answer, or its process is not there.
 	Absent(vm netip.AddrPort) bool
+	// Refused reports whether a VM's machine has answered that its process is not there.
+	Refused(vm netip.AddrPort) bool
 }
 
 // Parts are what a node works with.
@@ -129,6 +131,7 @@
 	strained  bool          // this VM's messages reach the others late
 	delay     time.Duration // by so much
 	isolated  bool          // it seems to be cut off from all others
+	prober    prober        // of neighbours that are not heard
 	lossy     time.Time     // until then orders are thought to get lost
 }
 
@@ -199,7 +202,7 @@
 	// After a loss of all VMs nobody owns endpoints for some tenths of a second. Callers are
 	// better off here, where their jobs wait for owners, than at a machine without power, to
 	// which the balancer sends them while no VM is ready.
-	return d.table.Known(now) > 0 || (d.listed && now.Sub(d.began) < joinFor)
+	return d.table.Known(now) > 0 || (d.listed && now.Sub(d.began) < joinFor && !d.claims.Defers())
 }
 
 // jump handles a pause of this VM: peers' silence was ours, and they have given up the
--- a/internal/edge/serve/order_test.go
+++ b/internal/edge/serve/order_test.go
@@ -121,6 +121,9 @@
 // Absent implements Mesh.
 func (c *casts) Absent(netip.AddrPort) bool { return false }
 
+// Refused implements Mesh.
+func (c *casts) Refused(netip.AddrPort) bool { return false }
+
 func (c *casts) Spread([]netip.AddrPort, frame.Msg) {}
 
 // Symptom: a caller is refused though other owners are idle. Sequence: its job reaches an
--- a/internal/edge/serve/own.go
+++ b/internal/edge/serve/own.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -96,6 +97,7 @@
 	if !d.listed || p == nil {
 		return
 	}
+	d.lookUnheard(now)
 	peers := d.peers(now)
 	d.probe(now, peers)
 	for _, c := range d.claims.Decide(now, d.leaving.Load(), d.groups(now), peers) {
@@ -140,13 +142,19 @@
 		ps = append(ps, claim.Peer{
 			VM: m.VM, Domain: m.Domain, Leaving: m.State == view.Left || m.Beat.Leaving, Since: d.since[m.VM],
 			Live:   (m.State == view.Alive || m.State == view.Suspect) || (m.State == view.Left && now.Sub(m.Heard) < lostAfter),
-			Claims: m.Beat.Claims, Strained: m.Beat.Strained, Listed: m.State == view.Listed, Absent: m.State == view.Listed && d.parts.Mesh.Absent(m.VM), Silent: m.State == view.Suspect, Power: float64(m.Beat.Power),
+			Claims: m.Beat.Claims, Strained: m.Beat.Strained, Listed: m.State == view.Listed, Absent: m.State == view.Listed && d.isLost(m.VM), Silent: m.State == view.Suspect, Power: float64(m.Beat.Power),
 		})
 	}
 	d.heard = ps
 	return ps
 }
 
+// isLost reports whether a VM that was never heard is not there: its machine says so, or it answers neither dials
+// nor a probe through the store.
+func (d *Node) isLost(vm netip.AddrPort) bool {
+	return d.parts.Mesh.Refused(vm) || (d.parts.Mesh.Absent(vm) && d.prober.result == noneAnswered)
+}
+
 // relieved reports whether another VM can take this one's callers.
 func (d *Node) relieved() bool {
 	return slices.ContainsFunc(d.view.Members(), func(m *view.Member) bool {
--- a/internal/edge/serve/parts.go
+++ b/internal/edge/serve/parts.go
@@ -33,6 +33,7 @@
 	Plans     feed.Source[plan.Decl]
 	Endpoints feed.Source[lease.Info]
 	VMs       Registry
+	Presence  Presence
 	// Callers and Ready serve one listener each, with the daemon behind them.
 	Callers func(d Door) Server
 	Ready   func(ready func() bool) Server
--- /dev/null
+++ b/internal/edge/serve/probe.go
@@ -0,0 +1,219 @@
+package serve
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"time"
+
+	"dahliawinch/internal/mesh/claim"
+	"dahliawinch/internal/mesh/view"
+	"dahliawinch/internal/plat/feed"
+)
+
+// Probe is a question of a VM that hears none of its neighbours, or the answer to one. Both go through
+// the store, which a VM may reach that the others don't.
+type Probe struct {
+	Domain string         // whose VMs are asked
+	From   netip.AddrPort // the VM that asks or answers
+	To     netip.AddrPort // the VM that is answered; not valid in a question
+	Call   uint64         // the question's number, repeated by its answers
+	Owns   bool           // the VM that answers owns endpoints of the failure domain
+}
+
+// Presence is where VMs probe for each other.
+type Presence interface {
+	feed.Source[Probe]
+	// Post adds a question or an answer. It returns an error when the store did not confirm it.
+	Post(ctx context.Context, p Probe) error
+}
+
+const (
+	// probeLeast is how long a VM waits for answers at least: they come within two calls to the store
+	// and the time that a busy VM takes. A slow store gets probeTrips times what the question took.
+	probeLeast = 200 * time.Millisecond
+	probeTrips = 5
+	// probeMost bounds a probe as a whole.
+	probeMost = 5 * time.Second
+	// probeEvery is the pause between two probes while no neighbour is heard.
+	probeEvery = time.Second
+	// probeKeeps is for how long a result counts while the store answers no further probe.
+	probeKeeps = 30 * time.Second
+	// probeReaders is how many VMs of a failure domain wait for probes: two, since one may be the VM that asks.
+	probeReaders = 2
+	// probeWait is how long one read waits for a probe, and probeLook how often a VM looks whether it is
+	// among those who read.
+	probeWait = 10 * time.Second
+	probeLook = 500 * time.Millisecond
+)
+
+// presence is what a VM knows through the store of neighbours that it doesn't hear.
+type presence uint8
+
+const (
+	presenceUnknown presence = iota
+	noneAnswered
+	neighbourAnswered // but owns no endpoints
+	ownerAnswered
+)
+
+var presenceNames = [...]string{"unknown", "none answered", "neighbour answered", "owner answered"}
+
+func (p presence) String() string { return presenceNames[p] }
+
+// prober holds the result of the last probe; the node's lock guards it.
+type prober struct {
+	asking bool
+	asked  time.Time // when the last probe began
+	result presence
+	at     time.Time // when the result came
+}
+
+// isUnheard reports whether a VM of the own failure domain may live though it is not heard: dials to it get
+// no answer, or it and all others have fallen silent. A machine that refuses a dial is reached.
+func (d *Node) isUnheard(m *view.Member, alive bool) bool {
+	if m.Domain != d.cfg.Domain {
+		return false
+	}
+	switch m.State {
+	case view.Listed:
+		return d.parts.Mesh.Absent(m.VM) && !d.parts.Mesh.Refused(m.VM)
+	case view.Suspect, view.Gone:
+		return !alive
+	default:
+		return false
+	}
+}
+
+// lookUnheard asks through the store for neighbours that are not heard, and tells the claims what is known of
+// them; the caller holds the lock.
+//
+// What goes wrong without it: a VM that is cut off from the others takes their silence for their loss. It claims
+// endpoints of living owners, whose jobs fail. Or it takes the loss of all others for a cut, and serves nobody.
+func (d *Node) lookUnheard(now time.Time) {
+	all := d.view.Members()
+	alive := slices.ContainsFunc(all, func(m *view.Member) bool { return m.State == view.Alive })
+	unheard := slices.ContainsFunc(all, func(m *view.Member) bool { return d.isUnheard(m, alive) })
+	p := &d.prober
+	if unheard && !p.asking && now.Sub(p.asked) >= probeEvery {
+		p.asking, p.asked = true, now
+		d.wg.Go(d.askPresence)
+	}
+	if !unheard || now.Sub(p.at) >= probeKeeps {
+		p.result = presenceUnknown
+	}
+	d.claims.Defer(p.result == ownerAnswered)
+	d.claims.Succeed(p.result == noneAnswered)
+}
+
+// askPresence probes once and takes in the result.
+func (d *Node) askPresence() {
+	ctx, cancel := context.WithTimeout(d.ctx, probeMost)
+	defer cancel()
+	result, by, err := d.sendProbe(ctx)
+	now := d.lock()
+	defer d.mu.Unlock()
+	p := &d.prober
+	p.asking = false
+	if d.ctx.Err() != nil {
+		return
+	}
+	d.log.Info("neighbours probed", "result", result.String(), "by", by, "after", now.Sub(p.asked).Round(time.Millisecond), "err", err)
+	if err == nil {
+		p.result, p.at = result, now
+	}
+}
+
+// sendProbe posts a question and waits for answers, up to the first of an owner.
+func (d *Node) sendProbe(ctx context.Context) (result presence, by netip.AddrPort, err error) {
+	_, from, err := d.parts.Presence.Newest(ctx)
+	if err != nil {
+		return presenceUnknown, by, fmt.Errorf("find the end of the probes: %w", err)
+	}
+	q := Probe{Domain: d.cfg.Domain, From: d.cfg.VM, Call: rand.Uint64()}
+	began := d.now()
+	if err := d.parts.Presence.Post(ctx, q); err != nil {
+		return presenceUnknown, by, fmt.Errorf("post a probe: %w", err)
+	}
+	now := d.now()
+	until := now.Add(max(probeLeast, probeTrips*now.Sub(began)))
+	result = noneAnswered
+	for ; now.Before(until); now = d.now() {
+		b, err := d.parts.Presence.Next(ctx, from, feed.Ask{Wait: until.Sub(now)})
+		if err != nil {
+			return presenceUnknown, by, fmt.Errorf("read answers to a probe: %w", err)
+		}
+		from = b.Next
+		for _, u := range b.All {
+			switch a := u.Value; {
+			case a.To != q.From || a.Call != q.Call:
+			case a.Owns:
+				return ownerAnswered, a.From, nil
+			default:
+				result, by = neighbourAnswered, a.From
+			}
+		}
+	}
+	return result, by, nil
+}
+
+// answerProbes answers what VMs ask through the store, while this VM is one of the readers of its failure domain.
+func (d *Node) answerProbes() {
+	from, known := int64(0), false
+	for d.ctx.Err() == nil {
+		if d.now().Sub(d.began) < joinFor || d.place() >= probeReaders {
+			known = false
+			pause(d.ctx, probeLook)
+			continue
+		}
+		next, err := d.readProbes(from, known)
+		from, known = next, err == nil
+		switch {
+		case err == nil || d.ctx.Err() != nil:
+		case errors.Is(err, feed.ErrGone):
+			d.log.Info("store history gone", "feed", "presence", "from", from)
+		default:
+			d.log.Info("probes not read", "err", err)
+			pause(d.ctx, probeLook)
+		}
+	}
+}
+
+// readProbes waits for probes once and answers them; it returns where to read on.
+func (d *Node) readProbes(from int64, known bool) (next int64, err error) {
+	if !known {
+		if _, from, err = d.parts.Presence.Newest(d.ctx); err != nil {
+			return from, fmt.Errorf("find the end of the probes: %w", err)
+		}
+	}
+	b, err := d.parts.Presence.Next(d.ctx, from, feed.Ask{Wait: probeWait})
+	if err != nil {
+		return from, fmt.Errorf("read probes: %w", err)
+	}
+	for _, u := range b.All {
+		if q := u.Value; u.Err == nil && !u.Gone && q.Domain == d.cfg.Domain && q.From != d.cfg.VM && !q.To.IsValid() {
+			d.wg.Go(func() { d.answerProbe(q) })
+		}
+	}
+	return b.Next, nil
+}
+
+func (d *Node) answerProbe(q Probe) {
+	a := Probe{Domain: d.cfg.Domain, From: d.cfg.VM, To: q.From, Call: q.Call, Owns: d.ownsNear()}
+	ctx, cancel := context.WithTimeout(d.ctx, probeMost)
+	defer cancel()
+	err := d.parts.Presence.Post(ctx, a)
+	d.log.Info("probe answered", "from", q.From, "call", q.Call, "owns", a.Owns, "err", err)
+}
+
+// ownsNear reports whether this VM owns endpoints of its failure domain and keeps them.
+func (d *Node) ownsNear() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.ContainsFunc(d.claims.Groups(), func(g claim.Group) bool {
+		return g.Domain == d.cfg.Domain && !d.claims.Owns(g).Giving
+	})
+}
--- a/internal/edge/serve/submit.go
+++ b/internal/edge/serve/submit.go
@@ -173,7 +173,7 @@
 		return
 	}
 	a := c.a
-	if (len(c.tried) == 0 || d.missing(now)) && now.Sub(c.came) < ownerWait {
+	if (len(c.tried) == 0 || d.missing(now)) && now.Sub(c.came) < ownerWait && !d.claims.Defers() {
 		c.tried, c.to = c.tried[:0], netip.AddrPort{}
 		d.parked = append(d.parked, c)
 		return
--- a/internal/mesh/claim/claim.go
+++ b/internal/mesh/claim/claim.go
@@ -34,8 +34,8 @@
 	// settleUnheard applies to groups of other domains while no VM has been heard at all, though
 	// several are listed: more likely this VM is cut off than all others are lost for good.
 	settleUnheard = 10 * time.Second
-	// rejoin is how long a VM that was cut off listens before it claims again: the others are heard one by
-	// one, up to a heartbeat between failure domains and its way apart.
+	// rejoin is how long a VM that was cut off, or deferred to one that it could not hear, listens before it
+	// claims again: the others are heard one by one, up to a heartbeat between failure domains and its way apart.
 	rejoin = 500 * time.Millisecond
 	// patience is how long a VM of a group's own failure domain must be there before a
 	// VM of another domain hands the group over: it may be one that keeps restarting.
@@ -90,6 +90,10 @@
 	// unheard when none of them had been heard yet.
 	isolated       bool
 	alone, unheard time.Time
+	// defers says that a VM of the own domain that is not heard owns endpoints there, and deferred when it
+	// last did; heir says that none of those that are not heard is there.
+	defers, heir bool
+	deferred     time.Time
 	// claims is filled anew by each round; a map for each would be a fifth of all that a VM
 	// among 97 allocates.
 	claims map[Group]claimant
@@ -220,7 +224,7 @@
 			}
 			continue
 		}
-		if leaving || b.isolated || on.kept || b.shunned(now, g) || !b.settled(now, g, peers) || b.best(now, g, peers, on.giving) != b.self {
+		if leaving || !b.mayClaim(now, g.Group) || on.kept || b.shunned(now, g) || !b.settled(now, g, peers) || b.best(now, g, peers, on.giving) != b.self {
 			continue
 		}
 		if fence == 0 {
@@ -236,7 +240,7 @@
 // domain is not known may be a neighbour.
 func (b *Book) settled(now time.Time, g Seat, peers []Peer) bool {
 	age := now.Sub(b.began)
-	if now.Sub(b.alone) < rejoin {
+	if now.Sub(b.alone) < rejoin && (!b.heir || g.Domain != b.domain) {
 		return false
 	}
 	if g.Domain != b.domain {
@@ -265,6 +269,9 @@
 	if b.isolated {
 		b.alone = now
 	}
+	if b.defers {
+		b.deferred = now
+	}
 	if len(peers) > 1 && !slices.ContainsFunc(peers, func(p Peer) bool { return !p.Listed }) {
 		b.unheard = now
 	}
@@ -278,6 +285,26 @@
 // claims nothing: silence does not show that an owner is lost.
 func (b *Book) Isolate(on bool) { b.isolated = on }
 
+// Defer tells the book whether a VM of the own failure domain that this one can't hear owns endpoints there. This
+// one claims none of them then.
+func (b *Book) Defer(on bool) { b.defers = on }
+
+// Defers reports what Defer was told last.
+func (b *Book) Defers() bool { return b.defers }
+
+// Succeed tells the book whether the VMs of the own failure domain that are not heard are surely not there. Then
+// their endpoints are claimed also by a VM that seems to be isolated.
+func (b *Book) Succeed(on bool) { b.heir = on }
+
+// mayClaim reports whether silence may count as the loss of a group's owner. One that answered through the store
+// is heard some time after the path to it has healed.
+func (b *Book) mayClaim(now time.Time, g Group) bool {
+	if g.Domain == b.domain {
+		return now.Sub(b.deferred) >= rejoin && (b.heir || !b.isolated)
+	}
+	return !b.isolated
+}
+
 // relieved reports whether a neighbour can take over what this VM owns.
 func (b *Book) relieved(peers []Peer) bool {
 	return b.strained && slices.ContainsFunc(peers, func(p Peer) bool { return p.Domain == b.domain && p.fit() })
--- a/internal/mesh/claim/claim_test.go
+++ b/internal/mesh/claim/claim_test.go
@@ -302,3 +302,29 @@
 		is.Equal(len(owners), 1)
 	}
 }
+
+// Guards against a VM that claims endpoints of a neighbour which it can't hear and which lives.
+func TestVMDefersToAnOwnerThatItCannotHear(t *testing.T) {
+	is := is.New(t)
+	k := New(a, "x", 1, t0)
+	peers := []Peer{{VM: b, Domain: "x", Listed: true}}
+	k.Defer(true)
+	at := t0.Add(time.Hour)
+	is.Equal(len(k.Decide(at, false, gs[:1], peers)), 0)
+	k.Defer(false) // the path has healed, and the owner's first heartbeat is on its way
+	is.Equal(len(k.Decide(at.Add(rejoin-1), false, gs[:1], peers)), 0)
+	is.Equal(len(k.Decide(at.Add(rejoin), false, gs[:1], peers)), 1)
+}
+
+// Guards against a VM that is the last of its failure domain and claims nothing there, since it seems to be isolated.
+func TestIsolatedVMSucceedsNeighboursThatAreSurelyLost(t *testing.T) {
+	is := is.New(t)
+	k := New(a, "x", 1, t0)
+	k.Isolate(true)
+	at := t0.Add(time.Hour)
+	is.Equal(len(k.Decide(at, false, gs, nil)), 0)
+	k.Succeed(true)
+	cs := k.Decide(at.Add(time.Millisecond), false, gs, nil)
+	is.Equal(len(cs), 1)
+	is.Equal(cs[0].Group, x) // and nothing of other domains, whose VMs were not asked
+}
--- a/internal/mesh/link/dial.go
+++ b/internal/mesh/link/dial.go
@@ -60,6 +60,13 @@
 	return s.closed || s.silent >= absentAfter
 }
 
+// refused reports whether the peer's machine has refused the last dial: no process listens there.
+func (s *sender) refused() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.closed
+}
+
 // greet exchanges hellos and finds out what the peer has read already.
 func (s *sender) greet(c net.Conn, r *bufio.Reader) error {
 	if err := c.SetDeadline(time.Now().Add(helloWait)); err != nil {
--- a/internal/mesh/link/hub.go
+++ b/internal/mesh/link/hub.go
@@ -218,6 +218,14 @@
 	return s != nil && s.absent()
 }
 
+// Refused implements serve.Mesh.
+func (h *Hub) Refused(vm netip.AddrPort) bool {
+	h.mu.Lock()
+	s := h.out[vm]
+	h.mu.Unlock()
+	return s != nil && s.refused()
+}
+
 // Reach implements flow.Mesh.
 func (h *Hub) Reach(ctx context.Context, vm netip.AddrPort) (uint64, error) {
 	s := h.sender(vm)
--- a/internal/mesh/link/link_test.go
+++ b/internal/mesh/link/link_test.go
@@ -335,8 +335,10 @@
 	speak(t, a, to)
 	eventually(t, "the peer to be absent", func() bool { return a.hub.Absent(to) })
 	is.True(dials.Load() >= absentAfter)
+	is.True(!a.hub.Refused(to)) // nothing has answered
 	b, dead := start(t, 1, "127.0.0.1:0"), netip.AddrPort{}
 	t.Run("a process that ends", func(t *testing.T) { dead = start(t, 1, "127.0.0.1:0").at })
 	speak(t, b, dead)
 	eventually(t, "the ended process to be absent", func() bool { return b.hub.Absent(dead) })
+	is.True(b.hub.Refused(dead))
 }
--- /dev/null
+++ b/internal/tool/grid/alone_test.go
@@ -0,0 +1,109 @@
+package grid
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"dahliawinch/internal/plat/fakes"
+)
+
+// ownerWait is how long callers' jobs wait for the first owner of endpoints.
+const ownerWait = 600 * time.Millisecond
+
+// few is a load that one VM and the endpoints of its failure domain carry.
+func few(do func(*Grid)) Setup {
+	set := faulty(do)
+	set.Load = 12
+	return set
+}
+
+// claims notes when a VM claims groups.
+func claims(set *Setup, vm int) *moments {
+	m := &moments{words: []string{"msg=group", "vm=" + fakes.Addrs(20, set.VMs)[vm].String(), "no VM owns it"}}
+	set.Log = m
+	return m
+}
+
+// Guards against a VM that waits for neighbours that are lost: after a loss of all VMs only one comes back.
+func TestVMThatAloneComesBackServesSoon(t *testing.T) {
+	const down = time.Second
+	for vm := range 2 {
+		is := is.New(t)
+		set := few(func(g *Grid) {
+			for n := range g.VMs {
+				g.Kill(g.VM(n))
+			}
+			time.Sleep(down)
+			g.Boot(g.VM(vm).Mesh, g.VM(vm).Domain)
+		})
+		claimed := claims(&set, vm)
+		set.Seed = uint64(vm) + 1
+		g := play(t, set)
+		steps(t, g, hit+down, 3)
+		born := g.began.Add(hit + down)
+		soon := claimed.within(born, born.Add(ownerWait))
+		t.Logf("%d groups claimed in time for the first callers", soon)
+		is.True(soon > 0)
+		is.True(g.Counts(every, hit+down+2500*time.Millisecond, hit+down+5500*time.Millisecond).Share() >= 0.95)
+	}
+}
+
+// Guards against a VM that takes the loss of all others for a cut of its own and claims nothing.
+func TestVMThatAloneIsLeftServesSoon(t *testing.T) {
+	for seed := range uint64(plays) {
+		is := is.New(t)
+		left := -1
+		set := few(func(g *Grid) {
+			for n := range g.VMs {
+				if v := g.VM(n); left < 0 && !v.Node.Owns(v.Domain) {
+					left = n
+				}
+			}
+			for n := range g.VMs {
+				if n != left {
+					g.Kill(g.VM(n))
+				}
+			}
+		})
+		set.Seed = seed + 1
+		g := play(t, set)
+		steps(t, g, hit, 5)
+		is.True(left >= 0)
+		is.True(g.Counts(every, hit+5*time.Second, hit+10*time.Second).Share() >= 0.95)
+	}
+}
+
+// Guards against two VMs of which one is cut off: each takes the other for lost, and they order the same endpoints
+// by turns.
+func TestTwoVMsThatDoNotHearEachOtherTakeNothing(t *testing.T) {
+	const cut = 8 * time.Second
+	for seed := range uint64(plays) {
+		is := is.New(t)
+		set := faulty(func(g *Grid) {
+			g.VM(1).alone.Store(true)
+			time.Sleep(cut)
+			g.VM(1).alone.Store(false)
+		})
+		set.Domains, set.VMs, set.Endpoints, set.Load, set.Seed = 1, 2, 48, 80, seed+1
+		taken := &moments{words: []string{"msg=group", "no VM owns it"}}
+		set.Log = taken
+		g := play(t, set)
+		steps(t, g, hit, 5)
+		is.Equal(taken.within(g.began.Add(hit), g.began.Add(hit+cut+time.Second)), 0)
+		is.True(g.Counts(every, hit+2*time.Second, hit+cut).Share() >= 0.95)
+	}
+}
+
+// Guards against a VM of two that waits for one which is lost.
+func TestVMServesSoonWhenItsOnlyOtherIsLost(t *testing.T) {
+	for vm := range 2 {
+		is := is.New(t)
+		set := few(func(g *Grid) { g.Kill(g.VM(vm)) })
+		set.Domains, set.VMs, set.Endpoints, set.Seed = 1, 2, 24, uint64(vm)+1
+		g := play(t, set)
+		steps(t, g, hit, 5)
+		is.True(g.Counts(every, hit+5*time.Second, hit+10*time.Second).Share() >= 0.95)
+	}
+}
--- a/internal/tool/grid/grid.go
+++ b/internal/tool/grid/grid.go
@@ -79,6 +79,7 @@
 	Plans  *fakes.Topic[plan.Decl]
 	Roster *fakes.Topic[lease.Info]
 	Named  *fakes.Topic[serve.VM]
+	Probes *fakes.Topic[serve.Probe]
 	// Casts and StoreCalls count what the VMs sent each other and asked of the store, and
 	// Records and Others what it gave them: of endpoints, and of all else.
 	Casts, StoreCalls, Records, Others atomic.Int64
@@ -109,7 +110,7 @@
 func Play(set Setup) *Grid {
 	g := &Grid{
 		Setup: set, Judge: NewJudge(), r: rand.New(rand.NewPCG(set.Seed, 99)), began: time.Now(),
-		Plans: fakes.NewTopic[plan.Decl](), Roster: fakes.NewTopic[lease.Info](), Named: fakes.NewTopic[serve.VM](),
+		Plans: fakes.NewTopic[plan.Decl](), Roster: fakes.NewTopic[lease.Info](), Named: fakes.NewTopic[serve.VM](), Probes: fakes.NewTopic[serve.Probe](),
 		cuts: map[[2]string]bool{}, heals: map[[2]string]time.Time{}, away: map[string]bool{}, turned: map[netip.AddrPort]bool{}, endpoints: map[string]*fakes.Leased{},
 	}
 	g.ctx, g.end = context.WithCancel(context.Background())
@@ -199,7 +200,7 @@
 	v.Node = serve.NewNode(ctx, serve.Config{VM: at, Domain: domain, Inc: v.Inc, Limits: Limits, Far: 2}, serve.Parts{
 		Platform: serve.Platform{
 			Agent: &hands{g, v}, Plans: &seen[plan.Decl]{g.Plans, g, v, &g.Others}, Endpoints: &seen[lease.Info]{g.Roster, g, v, &g.Records},
-			VMs: &registry{seen[serve.VM]{g.Named, g, v, &g.Others}},
+			VMs: &registry{seen[serve.VM]{g.Named, g, v, &g.Others}}, Presence: &presence{seen[serve.Probe]{g.Probes, g, v, &g.Others}},
 		},
 		Mesh: &post{g: g, from: v, links: map[*VM]*link{}}, Timers: timers, Clock: timer.Wall{}, Meter: meter.New(), Log: log,
 	})
--- a/internal/tool/grid/net.go
+++ b/internal/tool/grid/net.go
@@ -192,6 +192,9 @@
 	return (vm == nil || vm.dead.Load() || vm.alone.Load() || p.from.alone.Load()) && time.Since(p.from.born) >= unanswered
 }
 
+// Refused implements serve.Mesh: no machine here runs without its process.
+func (p *post) Refused(netip.AddrPort) bool { return false }
+
 func delay(a, b string) time.Duration {
 	if a == b {
 		return within
@@ -346,3 +349,15 @@
 	r.t.Remove(vm.Mesh.String())
 	return nil
 }
+
+// presence is the topic of probes as one VM reaches it.
+type presence struct{ seen[serve.Probe] }
+
+// Post implements serve.Presence.
+func (p *presence) Post(_ context.Context, q serve.Probe) error {
+	if err := p.reach(); err != nil {
+		return err
+	}
+	p.t.Put(q.Domain, q)
+	return nil
+}
