Tasks are suspected by the losses of all owners, and once these are known

Cause: a task was suspected if its job was on most of the endpoints that its owner had lost so far. An owner saw 0 to 5 of 21 to 24 that fell silent at once, and judged each before the next was known.

Change: heartbeats tell of endpoints that fell silent or were lost. Where three endpoints or more were lost within 1.2 s a task is excused, twice at most, unless it had begun on two of them or its job on all. A charged task runs alone, and doesn't start while a second charge is open. Log: "task excused", and "on", "of" of "task suspected".

Why it holds: innocent tasks meet a wave as often as endpoints are in it, and the wave is known when the verdict falls.

--- a/internal/edge/serve/beat.go
+++ b/internal/edge/serve/beat.go
@@ -14,6 +14,9 @@
 const (
 	// lostAfter is the silence of an owner after which jobs given to it are answered.
 	lostAfter = 700 * time.Millisecond
+	// hearsay is how long it takes to hear of endpoints that other owners lose: two looks at an endpoint, and a
+	// heartbeat between failure domains.
+	hearsay = 2*(renewWait+renewGrace) + view.Far*view.Period
 )
 
 // beat sends heartbeats, looks at silences and decides who owns what.
@@ -123,6 +126,9 @@
 	for _, s := range d.book.Suspects(now) {
 		b.Suspects = append(b.Suspects, frame.Suspect(s))
 	}
+	for _, l := range d.book.Losses(now) {
+		b.Losses = append(b.Losses, frame.Loss(l))
+	}
 	for _, c := range d.book.Cleared(now) {
 		b.Cleared = append(b.Cleared, frame.Cleared(c))
 	}
@@ -236,13 +242,16 @@
 	return p.Age(now, stamp)
 }
 
-// heed takes in which tasks another owner suspects, and which endpoints it has cleared.
+// heed takes in which tasks another owner suspects, which endpoints it has lost, and which endpoints it has cleared.
 func (d *Node) heed(m *frame.Beat) {
 	now := d.lock()
 	defer d.mu.Unlock()
 	for _, s := range m.Suspects {
 		d.book.Heed(now, owner.Suspect(s))
 	}
+	for _, l := range m.Losses {
+		d.book.Miss(now, owner.Loss(l))
+	}
 	for _, c := range m.Cleared {
 		d.book.Yield(now, owner.Cleared(c))
 	}
@@ -257,7 +266,7 @@
 		if c, ok := d.view.Hear(now, from, m); ok {
 			d.changed(c)
 		}
-		if len(m.Suspects)+len(m.Cleared) > 0 {
+		if len(m.Suspects)+len(m.Losses)+len(m.Cleared) > 0 {
 			d.heed(m)
 		}
 		if m.Load != nil {
--- a/internal/edge/serve/node.go
+++ b/internal/edge/serve/node.go
@@ -148,7 +148,7 @@
 		pace: pace.New(orderLeast, orderMost), unowned: true,
 		view: view.New(cfg.VM, cfg.Domain, now), claims: claim.New(cfg.VM, cfg.Domain, cfg.Power, now),
 	}
-	d.book = owner.New(owner.Config{Limits: cfg.Limits, Far: cfg.Far, Log: parts.Log, Orders: d.pace.Expect, Outlived: parts.Meter.Outlived})
+	d.book = owner.New(owner.Config{Limits: cfg.Limits, Far: cfg.Far, Hearsay: hearsay, Log: parts.Log, Orders: d.pace.Expect, Outlived: parts.Meter.Outlived})
 	d.ctx, d.cancel = context.WithCancel(ctx)
 	d.view.Links(farLinks)
 	d.relay()
--- a/internal/mesh/frame/frame_test.go
+++ b/internal/mesh/frame/frame_test.go
@@ -16,7 +16,7 @@
 	return []Msg{
 		&Hello{VM: at, Inc: 7, Domain: "perth-a"},
 		&Beat{At: time.Unix(1_700_000_000, 5), Room: Room{Free: 3, Urgent: 4}, Wait: time.Second, Gone: []netip.AddrPort{at}, Use: map[string]Use{"crew": {Rate: 2, Slots: 1}}},
-		&Beat{At: time.Unix(1_700_000_000, 5), Suspects: []Suspect{{Task: "j.0.0.0", Lost: 2}}, Cleared: []Cleared{{Endpoint: "e1", Fence: 1<<53 - 1}}},
+		&Beat{At: time.Unix(1_700_000_000, 5), Suspects: []Suspect{{Task: "j.0.0.0", Lost: 2}}, Losses: []Loss{{Endpoint: "e2", Age: time.Second}}, Cleared: []Cleared{{Endpoint: "e1", Fence: 1<<53 - 1}}},
 		&Give{At: time.Unix(1_700_000_000, 5), Group: 1, Tasks: []Task{{Job: 2, Tenant: "crew", Left: time.Second, Task: job.Task{Body: []byte("x")}}}},
 		&Took{To: 3, Group: 1, N: 1},
 		&Back{To: 3, Group: 1, Ended: []Ended{{Job: 2, Fate: Ran, Body: []byte("y")}}},
--- a/internal/mesh/frame/msg.go
+++ b/internal/mesh/frame/msg.go
@@ -81,6 +81,8 @@
 	Strained bool `msgpack:"x,omitempty"`
 	// Suspects are tasks that the sender has come to suspect of crashing their endpoints.
 	Suspects []Suspect `msgpack:"k,omitempty"`
+	// Losses are endpoints that have fallen silent to the sender or were lost.
+	Losses []Loss `msgpack:"m,omitempty"`
 	// Cleared are endpoints that the sender took over and where nothing runs for former owners any more.
 	Cleared []Cleared `msgpack:"e,omitempty"`
 	// Load is the sender's load, if it is told with heartbeats alone.
@@ -93,6 +95,12 @@
 	Lost int    `msgpack:"n"`
 }
 
+// Loss is an endpoint that has fallen silent or was lost.
+type Loss struct {
+	Endpoint string        `msgpack:"i"`
+	Age      time.Duration `msgpack:"a"` // since the first sign
+}
+
 // Cleared says that an endpoint obeys a fence and runs nothing of lower ones.
 type Cleared struct {
 	Endpoint string `msgpack:"i"`
--- a/internal/task/owner/book.go
+++ b/internal/task/owner/book.go
@@ -68,7 +68,9 @@
 type Config struct {
 	Limits lease.Limits
 	Far    float64 // how many times longer a task runs away from its data
-	Log    *slog.Logger
+	// Hearsay is how long after the first sign of a loss other owners may tell of theirs; 0 if there are none.
+	Hearsay time.Duration
+	Log     *slog.Logger
 	// Orders is how long the last of so many orders takes if they are sent now; nil if they take
 	// next to nothing.
 	Orders func(n int) time.Duration
@@ -92,13 +94,16 @@
 	inflow [ranks]flow
 	needs  needs
 	acts   Acts
-	// suspects are the tasks under which endpoints were lost, how many; deaths the endpoints that
-	// were lost lately.
-	suspects  map[string]int
-	suspected map[string]time.Time // when, by task
-	news      []news               // of suspicions, for other owners
-	deaths    []death
-	clears    []clearing // of endpoints that were taken from other owners
+	// suspects are the tasks under which endpoints were lost, how many; excused counts the losses that say nothing
+	// of a task, and charged those on which there is no verdict yet.
+	suspects, charged map[string]int
+	excused           map[string]excuse
+	suspected         map[string]time.Time // when, by task
+	charges           []charge
+	losses            map[string]loss // of endpoints, this owner's and others'
+	news              []news          // of suspicions, for other owners
+	deaths            []death         // endpoints that were lost here with what ran there
+	clears            []clearing      // of endpoints that were taken from other owners
 	// cordons are the failure domains whose endpoints get no new work, since when.
 	cordons map[string]time.Time
 }
@@ -107,7 +112,8 @@
 func New(cfg Config) *Book {
 	return &Book{
 		cfg: cfg, sites: map[string]*site{}, jobs: map[Key]*entry{}, names: map[string]*entry{},
-		health: health.New(health.Tame), nums: map[string]int{}, cordons: map[string]time.Time{}, suspects: map[string]int{}, suspected: map[string]time.Time{},
+		health: health.New(health.Tame), nums: map[string]int{}, cordons: map[string]time.Time{},
+		suspects: map[string]int{}, excused: map[string]excuse{}, charged: map[string]int{}, suspected: map[string]time.Time{}, losses: map[string]loss{},
 	}
 }
 
--- a/internal/task/owner/crash.go
+++ b/internal/task/owner/crash.go
@@ -14,15 +14,26 @@
 	// little: up to three tasks share an endpoint, and endpoints die by themselves. The users allow
 	// two more: another guilty job about hides one, and the caller may send the job again.
 	mostDeaths = 2
-	// cohortFor is the time within which endpoints that are lost together are noticed: the last
-	// lease of each ends up to a second after the first's.
+	// mostExcused is how many losses of a task are put down to what else was lost beside them: a task that
+	// crashes endpoints while others come and go is given up after two more.
+	mostExcused = 2
+	waveLeast   = 3
+	// cohortFor is the time within which endpoints that are lost together are noticed: one that is idle, or
+	// under orders only, is looked at up to a second later than one whose lease is renewed.
 	cohortFor = 1200 * time.Millisecond
 )
 
 // death is an endpoint that was lost with what ran there.
 type death struct {
-	at   time.Time
-	jobs []string
+	at   time.Time // its first sign
+	runs []*lease.Run
+}
+
+// charge is a task under which an endpoint was lost, until it is known what else was lost in that moment.
+type charge struct {
+	at     time.Time // the first sign of the loss
+	run    *lease.Run
+	beside int // other tasks on the endpoint
 }
 
 // perished takes in that an endpoint was lost, and with it some runs, before they are taken into
@@ -32,65 +43,161 @@
 // other, each with the tasks beside it, until its caller gives up. One notices endpoints that are
 // lost one at a time, and one job at all of them. Such a task runs alone from then on, and is given up
 // when two were lost under it. Endpoints of a rack that loses power die together, and no job was on
-// most of them: but for the first nobody is suspected then.
+// most of them: nobody is suspected then. Its endpoints have several owners, so that each waits
+// with its verdict until it has heard of the others' losses.
 //
 // That a job has failed is never said for this: an owner sees that an endpoint is silent, not why. One
 // that is cut off, or goes down and up by itself, may be lost twice under a task that did nothing.
-func (b *Book) perished(now time.Time, over []lease.Finished) {
-	d := death{at: now}
+func (b *Book) perished(now time.Time, s *site, over []lease.Finished) {
+	var runs []*lease.Run
 	for _, f := range over {
 		if f.How == lease.Died {
-			d.jobs = append(d.jobs, f.Run.Task.Job)
+			runs = append(runs, f.Run)
 		}
 	}
-	if len(d.jobs) == 0 {
+	if len(runs) == 0 {
 		return
 	}
-	b.deaths = slices.DeleteFunc(b.deaths, func(o death) bool { return now.Sub(o.at) > cohortFor })
+	d := death{b.missed(now, s.ID), runs}
+	b.deaths = slices.DeleteFunc(b.deaths, func(o death) bool { return now.Sub(o.at) > lossKept })
 	b.deaths = append(b.deaths, d)
-	for _, f := range over {
-		if f.How == lease.Died && b.explains(f.Run.Task.Job) {
-			b.suspects[f.Run.Name]++
-			b.suspected[f.Run.Name] = now
-			b.news = append(b.news, news{now, Suspect{f.Run.Name, b.suspects[f.Run.Name]}})
-			b.cfg.Log.Info("task suspected", "job", f.Run.Task.Job, "task", f.Run.Name, "run", f.Run.Num, "lost", b.suspects[f.Run.Name], "beside", len(d.jobs)-1)
+	for _, r := range runs {
+		b.charged[r.Name]++
+		b.charges = append(b.charges, charge{d.at, r, len(runs) - 1})
+	}
+	b.judgeCharges(now)
+}
+
+// judgeCharges decides on the charges that are old enough for that.
+func (b *Book) judgeCharges(now time.Time) {
+	due := func(c charge) bool { return now.Sub(c.at) >= b.cfg.Hearsay }
+	for _, c := range b.charges {
+		if due(c) {
+			b.decide(now, c)
 		}
 	}
+	b.charges = slices.DeleteFunc(b.charges, due)
+}
+
+// decide suspects a charged task, or excuses it.
+func (b *Book) decide(now time.Time, c charge) {
+	name := c.run.Name
+	if b.charged[name]--; b.charged[name] <= 0 {
+		delete(b.charged, name)
+	}
+	b.suspected[name] = now
+	h := b.cohort(c)
+	if x := b.excused[name]; b.suspects[name] < mostDeaths && x.times < h.excuses() {
+		x.note(c)
+		b.excused[name] = x
+		b.cfg.Log.Info("task excused", "job", c.run.Task.Job, "task", name, "run", c.run.Num, "on", h.on, "of", h.lost, "times", x.times)
+		return
+	}
+	b.suspects[name]++
+	b.news = append(b.news, news{now, Suspect{name, b.suspects[name]}})
+	b.cfg.Log.Info("task suspected", "job", c.run.Task.Job, "task", name, "run", c.run.Num, "lost", b.suspects[name], "on", h.on, "of", h.lost, "beside", c.beside)
+	e := c.run.Job.(*entry)
+	if b.suspects[name] >= mostDeaths && !e.told && slices.Contains(e.steps[c.run.Task.Step].waiting, c.run.Task.Index) {
+		b.giveUp(now, e, name)
+	}
 }
 
-// explains reports whether a job was on most of the endpoints that were lost lately: not on all, for
-// a second such job may be about.
-func (b *Book) explains(id string) bool {
-	on := 0
+// excuse is how often losses of a task were put down to what else was lost.
+type excuse struct {
+	times int
+	at    time.Time // of the last that counts
+	met   bool      // the task was started anew on an endpoint that was lost about then
+}
+
+// note counts a loss. The first that meets a task when it is started anew, on an endpoint that was lost in the same
+// moment, does not count.
+func (x *excuse) note(c charge) {
+	if x.times > 0 && !x.met && !begun(c.run) && c.at.Sub(x.at).Abs() <= cohortFor {
+		x.met = true
+		return
+	}
+	*x = excuse{times: x.times + 1, at: c.at}
+}
+
+// cohort is what was lost about the time of a charge. Runs count that had surely begun: others may have met an
+// endpoint that was lost before.
+type cohort struct {
+	lost  int  // endpoints
+	on    int  // those with runs of the task's job
+	ran   int  // those with runs of the task
+	begun bool // the run of the charge had begun
+}
+
+func (b *Book) cohort(c charge) (h cohort) {
+	h.lost, h.begun = b.missing(c.at), begun(c.run)
 	for _, d := range b.deaths {
-		if slices.Contains(d.jobs, id) {
-			on++
+		if d.at.Sub(c.at).Abs() > cohortFor {
+			continue
+		}
+		if slices.ContainsFunc(d.runs, func(r *lease.Run) bool { return r.Task.Job == c.run.Task.Job && begun(r) }) {
+			h.on++
 		}
+		if slices.ContainsFunc(d.runs, func(r *lease.Run) bool { return r.Name == c.run.Name && begun(r) }) {
+			h.ran++
+		}
+	}
+	return h
+}
+
+// begun reports whether an endpoint has confirmed or listed a run.
+func begun(r *lease.Run) bool { return r.Seen.After(r.At) }
+
+// excuses is how many losses of a task are put down to what else was lost. A task that has begun on two of the
+// endpoints found the second one alive when the first was lost. A job that was on most of them may be the cause,
+// or be a wide one; a second such job may be about.
+func (h cohort) excuses() int {
+	switch {
+	case h.lost < waveLeast || h.on == h.lost || h.ran > 1:
+		return 0
+	case 2*h.on > h.lost && h.begun:
+		return 1
+	default:
+		return mostExcused
 	}
-	return 2*on > len(b.deaths)
+}
+
+// giveUp ends a job with a task under which too many endpoints were lost.
+func (b *Book) giveUp(now time.Time, e *entry, task string) {
+	b.finish(now, e, job.Answer{Outcome: e.outcome(), Reason: job.Silent, Detail: task + " was running when two endpoints were lost"})
 }
 
 // again puts a task that is to start anew among those that wait. One that is suspected goes last:
 // the others of its job should not be beside it.
 func (b *Book) again(now time.Time, e *entry, r *lease.Run) {
 	st := &e.steps[r.Task.Step]
-	n := b.suspects[r.Name]
 	switch {
-	case n >= mostDeaths:
-		b.finish(now, e, job.Answer{Outcome: e.outcome(), Reason: job.Silent, Detail: r.Name + " was running when two endpoints were lost"})
-	case n > 0:
+	case b.suspects[r.Name] >= mostDeaths:
+		b.giveUp(now, e, r.Name)
+	case b.isSuspect(r.Name):
 		st.waiting = slices.Insert(st.waiting, 0, r.Task.Index)
 	default:
 		st.waiting = append(st.waiting, r.Task.Index)
 	}
 }
 
+// isSuspect reports whether a task may crash the endpoint that starts it.
+func (b *Book) isSuspect(task string) bool { return b.suspects[task]+b.charged[task] > 0 }
+
+// suspicious reports whether any task is a suspect.
+func (b *Book) suspicious() bool { return len(b.suspects)+len(b.charged) > 0 }
+
+// held reports whether a task waits for a verdict by which its job may be given up.
+func (b *Book) held(task string) bool {
+	return b.charged[task] > 0 && b.suspects[task]+b.charged[task] >= mostDeaths
+}
+
 // acquit forgets suspicions of tasks that are not at hand any more and were not suspected lately.
 func (b *Book) acquit(now time.Time) {
 	for name, at := range b.suspected {
 		if b.names[jobOf(name)] == nil && now.Sub(at) >= numsFor {
 			delete(b.suspects, name)
 			delete(b.suspected, name)
+			delete(b.excused, name)
 		}
 	}
 }
@@ -100,46 +207,6 @@
 	return id
 }
 
-// Suspect is a task under which endpoints were lost.
-type Suspect struct {
-	Task string
-	Lost int // endpoints
-}
-
-// news is a suspicion that other owners may not have heard of.
-type news struct {
-	at time.Time
-	Suspect
-}
-
-// tellFor is how long a suspicion is told: longer than it takes any VM to hear several heartbeats.
-const tellFor = 2 * time.Second
-
-// mostTold bounds the suspicions of a heartbeat: a rack that is lost makes many at once.
-const mostTold = 32
-
-// Suspects lists what this owner has come to suspect lately, for the others.
-//
-// What goes wrong without it: the caller of a job that has ended as unknown submits it again, another
-// owner takes it, and its task crashes two more endpoints there. One notices one task suspected at one
-// owner after the other.
-func (b *Book) Suspects(now time.Time) (all []Suspect) {
-	b.news = slices.DeleteFunc(b.news, func(n news) bool { return now.Sub(n.at) > tellFor })
-	for _, n := range b.news[max(0, len(b.news)-mostTold):] {
-		all = append(all, n.Suspect)
-	}
-	return all
-}
-
-// Heed takes in what another owner suspects.
-func (b *Book) Heed(now time.Time, s Suspect) {
-	if s.Lost <= b.suspects[s.Task] {
-		return
-	}
-	b.cfg.Log.Info("task suspected elsewhere", "task", s.Task, "lost", s.Lost)
-	b.suspects[s.Task], b.suspected[s.Task] = s.Lost, now
-}
-
 // guilty names a task of a job under which so many endpoints were lost that it is not started again.
 // One that was given up is started once more for a caller that submits it again, alone: endpoints
 // that come and go may have been lost under it by chance.
@@ -156,14 +223,14 @@
 // has an endpoint for itself while it runs, so that the next loss tells whose fault it was, and takes
 // no others with it.
 func (b *Book) apart(s *site, task string) bool {
-	if len(b.suspects) == 0 || len(s.Runs) == 0 {
+	if !b.suspicious() || len(s.Runs) == 0 {
 		return true
 	}
-	if b.suspects[task] > 0 {
+	if b.isSuspect(task) {
 		return false
 	}
 	for n := range s.Runs {
-		if b.suspects[n.Task] > 0 {
+		if b.isSuspect(n.Task) {
 			return false
 		}
 	}
--- a/internal/task/owner/events.go
+++ b/internal/task/owner/events.go
@@ -122,6 +122,7 @@
 	}
 	if was {
 		b.cfg.Log.Info("endpoint back", "endpoint", ep.ID, "runs", len(ep.Runs))
+		b.found(ep.ID)
 		b.health.Reached(ep.Addr)
 	}
 	for _, f := range over {
@@ -152,6 +153,7 @@
 		b.assess(now, health.Report{Addr: ep.Addr, End: health.Unreachable}, ep.ID)
 	}
 	ep.Quiet()
+	b.missed(now, ep.ID)
 }
 
 // over takes a run that has surely ended into its job.
--- a/internal/task/owner/pump.go
+++ b/internal/task/owner/pump.go
@@ -54,6 +54,9 @@
 	for len(st.waiting) > 0 {
 		last := len(st.waiting) - 1
 		k := st.waiting[last]
+		if len(b.charged) > 0 && b.held(batch.Task{Job: e.ID, Step: i, Index: k}.String()) {
+			return true // those before it are suspects as well
+		}
 		s := b.pick(now, e, &e.Steps[i], batch.Task{Job: e.ID, Step: i, Index: k})
 		if s == nil {
 			return false
@@ -88,7 +91,7 @@
 // holes stay for large tasks; nil if none has room.
 func (b *Book) pick(now time.Time, e *entry, st *batch.Step, t batch.Task) (best *site) {
 	low, name := 0.0, ""
-	if len(b.suspects) > 0 {
+	if b.suspicious() {
 		name = t.String()
 	}
 	again := e.steps[t.Step].fails[t.Index] > 0 && b.good(e, st)
--- a/internal/task/owner/review.go
+++ b/internal/task/owner/review.go
@@ -48,10 +48,11 @@
 	for _, s := range b.order {
 		over := s.Lapsed(now)
 		if !s.lost { // of one that another VM took over nothing is known
-			b.perished(now, over)
+			b.perished(now, s, over)
 		}
 		b.allOver(now, s, over, "lease ran out")
 	}
+	b.judgeCharges(now)
 	for _, e := range b.jobs {
 		b.review(now, e)
 	}
--- a/internal/task/owner/sites.go
+++ b/internal/task/owner/sites.go
@@ -105,8 +105,9 @@
 	s.lost = true
 	s.Quiet()
 	if dead {
+		b.missed(now, id)
 		over := s.Lost()
-		b.perished(now, over)
+		b.perished(now, s, over)
 		b.allOver(now, s, over, why)
 	}
 	if len(s.Runs) == 0 {
--- a/internal/tool/grid/crash_test.go
+++ b/internal/tool/grid/crash_test.go
@@ -6,9 +6,80 @@
 
 	"github.com/matryer/is"
 
+	"dahliawinch/internal/plat/fakes"
 	"dahliawinch/internal/task/job"
 )
 
+const (
+	flaps   = 3 // waves of endpoints that go down and up
+	flapGap = 2 * time.Second
+)
+
+// flap takes a quarter of the endpoints down in one moment, several times; others come up at their addresses.
+func flap(quarter func(n int) int) func(*Grid) {
+	return func(g *Grid) {
+		for wave := range flaps {
+			for n := range g.Endpoints {
+				if e := g.Endpoint(n); quarter(n) == wave && e.Crash() {
+					e.Set(fakes.Manners{Mute: true})
+					g.reborn(e)
+				}
+			}
+			time.Sleep(flapGap)
+		}
+	}
+}
+
+// Endpoints of the grid take turns among its four failure domains.
+func byDomain(n int) int { return n % 4 }
+func ofAll(n int) int    { return n / 4 % 4 }
+func ofThree(n int) int  { return (n + n/4) % 4 }
+func quarters() map[string]func(int) int {
+	return map[string]func(int) int{"a failure domain": byDomain, "some of all domains": ofAll, "others of all domains": ofThree}
+}
+
+// Guards against tasks that are suspected, or given up, since their endpoints went down together with others.
+func TestEndpointsThatFlapCastNoSuspicion(t *testing.T) {
+	for name, quarter := range quarters() {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			for seed := range uint64(plays) {
+				suspected := &moments{words: []string{`msg="task suspected"`}}
+				set := faulty(flap(quarter))
+				set.Seed, set.Log = seed+1, suspected
+				g := play(t, set)
+				t.Logf("seed %d: %+v", seed+1, g.Counts(every, hit, hit+flaps*flapGap))
+				is.Equal(len(suspected.at), 0)
+			}
+		})
+	}
+}
+
+// Guards against tasks that crash endpoints and are excused for as long as other endpoints come and go.
+func TestTasksThatCrashEndpointsAreStoppedWhileOthersFlap(t *testing.T) {
+	for name, quarter := range quarters() {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			for seed := range uint64(plays) {
+				set := Users(80)
+				set.Guilty, set.Insist, set.Seed = 1.0/100, 3, seed+1
+				set.Faults = []Fault{{At: hit, Do: flap(quarter)}}
+				g := play(t, set)
+				failed := 0
+				for r := range g.sent(every, 0, time.Hour) {
+					if r.Answer.Outcome == job.Failed {
+						failed++
+					}
+				}
+				all, most := g.Judge.Crashes()
+				t.Logf("seed %d: %d endpoints crashed by tasks, by one at most %d", seed+1, all, most)
+				is.Equal(failed, 0)
+				is.True(most <= 5) // the users' bound: three crashes, and then not three starts more
+			}
+		})
+	}
+}
+
 // Symptom: endpoints are lost one after the other, and jobs with them. Sequence: one job in 200 has a
 // task that crashes each endpoint that starts it; endpoints are back after two seconds. Cause: such a
 // task is started again and again, beside others; or those others are given up as well.
