Links: what is meant for a new incarnation is not kept for the former one

Cause: a sender kept messages for the incarnation of its open connection, and learned of a new one only when it opened the next. A machine that loses power and is back before its connections count as silent leaves the old one open; a job or an answer cast to the new process was accepted, and dropped with it.

Change: the link that the new process opens tells the sender, before any message over it is read.

--- a/internal/mesh/link/hub.go
+++ b/internal/mesh/link/hub.go
@@ -201,12 +201,12 @@
 	return s
 }
 
-// spoken tells the sender to a VM that the VM has opened a link.
-func (h *Hub) spoken(vm netip.AddrPort) {
+// spoken tells the sender to a VM that an incarnation of the VM has opened a link.
+func (h *Hub) spoken(from frame.Hello) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if s := h.out[vm]; s != nil {
-		s.spoken()
+	if s := h.out[from.VM]; s != nil {
+		s.spoken(from.Inc)
 	}
 }
 
--- a/internal/mesh/link/link_test.go
+++ b/internal/mesh/link/link_test.go
@@ -51,9 +51,23 @@
 	mu   sync.Mutex
 	got  []uint64
 	conn []*flaky
+	also func(frame.Hello, frame.Msg) // sees all messages
 }
 
-func (s *side) handle(_ frame.Hello, m frame.Msg) {
+// watch calls a function for each message from now on.
+func (s *side) watch(fn func(frame.Hello, frame.Msg)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.also = fn
+}
+
+func (s *side) handle(from frame.Hello, m frame.Msg) {
+	s.mu.Lock()
+	also := s.also
+	s.mu.Unlock()
+	if also != nil {
+		also(from, m)
+	}
 	if t, ok := m.(*frame.Took); ok {
 		s.mu.Lock()
 		s.got = append(s.got, t.Group)
--- a/internal/mesh/link/receiver.go
+++ b/internal/mesh/link/receiver.go
@@ -92,7 +92,7 @@
 	if rec == nil {
 		return
 	}
-	h.spoken(from.VM)
+	h.spoken(*from)
 	nth := rec.conns.Add(1)
 	rec.mu.Lock() // the older connection of the peer ends first
 	defer rec.mu.Unlock()
--- a/internal/mesh/link/sender.go
+++ b/internal/mesh/link/sender.go
@@ -87,8 +87,18 @@
 }
 
 // spoken ends the pause before a new connection: a partition has healed, and until
-// this VM's own link is up it can send the peer nothing though it hears it.
-func (s *sender) spoken() {
+// this VM's own link is up it can send the peer nothing though it hears it. A connection to a former
+// incarnation is given up.
+//
+// What goes wrong without that: a machine loses power and starts again before its connections count as silent.
+// What is cast to the new process is kept for the old one, and dropped once the new connection is up. One notices
+// jobs that end at their deadline, of an owner that never took them.
+func (s *sender) spoken(inc uint64) {
+	s.mu.Lock()
+	if s.inc != 0 && inc > s.inc {
+		s.forget(inc)
+	}
+	s.mu.Unlock()
 	select {
 	case s.back <- struct{}{}:
 	default:
@@ -183,6 +193,15 @@
 	s.word = s.h.clock()
 }
 
+// forget drops what was meant for a former incarnation, and the connection to it; the caller holds the lock.
+func (s *sender) forget(inc uint64) {
+	s.inc, s.acked, s.kept, s.bytes, s.next = inc, 0, nil, 0, 0
+	if s.conn != nil {
+		_ = s.conn.Close() // whoever reads and writes it sees that
+	}
+	s.conn, s.online = nil, false
+}
+
 // trim forgets frames up to a count; the caller holds the lock.
 func (s *sender) trim(seen uint64) {
 	for s.acked < seen && len(s.kept) > 0 {
