Probes are few: none while a neighbour is heard, and less often while nothing changes

Cause: found by reading. A VM that is lost for good stays listed; each VM of its domain that starts later would have asked the store for it each second, five calls each, for as long as it runs. And in a large domain every VM that starts before another one's machine has power would have asked.

Change: a VM that hears a neighbour is not cut off from its domain and doesn't ask. One that hears other domains only asks while it settles, or while an owner that it can't hear answers. The pause between probes doubles from 1 to 8 s.

--- a/internal/edge/serve/own.go
+++ b/internal/edge/serve/own.go
@@ -136,13 +136,13 @@
 
 // peers are the other VMs as the claims see them, until the next call; the caller holds the lock.
 func (d *Node) peers(now time.Time) []claim.Peer {
-	all := d.view.Members()
+	all, h := d.view.Members(), d.hearing()
 	ps := d.heard[:0]
 	for _, m := range all {
 		ps = append(ps, claim.Peer{
 			VM: m.VM, Domain: m.Domain, Leaving: m.State == view.Left || m.Beat.Leaving, Since: d.since[m.VM],
 			Live:   (m.State == view.Alive || m.State == view.Suspect) || (m.State == view.Left && now.Sub(m.Heard) < lostAfter),
-			Claims: m.Beat.Claims, Strained: m.Beat.Strained, Listed: m.State == view.Listed, Absent: m.State == view.Listed && d.isLost(m.VM), Silent: m.State == view.Suspect, Power: float64(m.Beat.Power),
+			Claims: m.Beat.Claims, Strained: m.Beat.Strained, Listed: m.State == view.Listed, Absent: m.State == view.Listed && d.isLost(m.VM, h), Silent: m.State == view.Suspect, Power: float64(m.Beat.Power),
 		})
 	}
 	d.heard = ps
@@ -150,9 +150,9 @@
 }
 
 // isLost reports whether a VM that was never heard is not there: its machine says so, or it answers neither dials
-// nor a probe through the store.
-func (d *Node) isLost(vm netip.AddrPort) bool {
-	return d.parts.Mesh.Refused(vm) || (d.parts.Mesh.Absent(vm) && d.prober.result == noneAnswered)
+// nor a probe through the store. While a neighbour is heard, this VM is not cut off from its domain.
+func (d *Node) isLost(vm netip.AddrPort, h hearing) bool {
+	return d.parts.Mesh.Refused(vm) || (d.parts.Mesh.Absent(vm) && (h.near || d.prober.result == noneAnswered))
 }
 
 // relieved reports whether another VM can take this one's callers.
--- a/internal/edge/serve/probe.go
+++ b/internal/edge/serve/probe.go
@@ -38,8 +38,10 @@
 	probeTrips = 5
 	// probeMost bounds a probe as a whole.
 	probeMost = 5 * time.Second
-	// probeEvery is the pause between two probes while no neighbour is heard.
+	// probeEvery is the pause after the first probe while no neighbour is heard; it doubles with each up to
+	// probeRest, since the result seldom changes.
 	probeEvery = time.Second
+	probeRest  = 8 * time.Second
 	// probeKeeps is for how long a result counts while the store answers no further probe.
 	probeKeeps = 30 * time.Second
 	// probeReaders is how many VMs of a failure domain wait for probes: two, since one may be the VM that asks.
@@ -67,22 +69,36 @@
 // prober holds the result of the last probe; the node's lock guards it.
 type prober struct {
 	asking bool
-	asked  time.Time // when the last probe began
+	next   time.Time     // when to ask again
+	pause  time.Duration // the last one before that
 	result presence
 	at     time.Time // when the result came
 }
 
-// isUnheard reports whether a VM of the own failure domain may live though it is not heard: dials to it get
-// no answer, or it and all others have fallen silent. A machine that refuses a dial is reached.
-func (d *Node) isUnheard(m *view.Member, alive bool) bool {
+// hearing is whom a VM hears.
+type hearing struct{ any, near bool }
+
+func (d *Node) hearing() (h hearing) {
+	for _, m := range d.view.Members() {
+		if m.State == view.Alive {
+			h.any, h.near = true, h.near || m.Domain == d.cfg.Domain
+		}
+	}
+	return h
+}
+
+// isUnheard reports whether a VM of the own failure domain may live though it is not heard, and nobody who is heard
+// can tell. A machine that refuses a dial is reached.
+func (d *Node) isUnheard(now time.Time, m *view.Member, h hearing) bool {
 	if m.Domain != d.cfg.Domain {
 		return false
 	}
 	switch m.State {
 	case view.Listed:
-		return d.parts.Mesh.Absent(m.VM) && !d.parts.Mesh.Refused(m.VM)
+		settles := now.Sub(d.began) < joinFor || d.prober.result == ownerAnswered
+		return !h.near && (!h.any || settles) && d.parts.Mesh.Absent(m.VM) && !d.parts.Mesh.Refused(m.VM)
 	case view.Suspect, view.Gone:
-		return !alive
+		return !h.any
 	default:
 		return false
 	}
@@ -94,15 +110,17 @@
 // What goes wrong without it: a VM that is cut off from the others takes their silence for their loss. It claims
 // endpoints of living owners, whose jobs fail. Or it takes the loss of all others for a cut, and serves nobody.
 func (d *Node) lookUnheard(now time.Time) {
-	all := d.view.Members()
-	alive := slices.ContainsFunc(all, func(m *view.Member) bool { return m.State == view.Alive })
-	unheard := slices.ContainsFunc(all, func(m *view.Member) bool { return d.isUnheard(m, alive) })
+	h := d.hearing()
+	unheard := slices.ContainsFunc(d.view.Members(), func(m *view.Member) bool { return d.isUnheard(now, m, h) })
 	p := &d.prober
-	if unheard && !p.asking && now.Sub(p.asked) >= probeEvery {
-		p.asking, p.asked = true, now
+	switch {
+	case !unheard:
+		*p = prober{asking: p.asking}
+	case !p.asking && !now.Before(p.next):
+		p.asking = true
+		p.pause = min(max(probeEvery, 2*p.pause), probeRest)
 		d.wg.Go(d.askPresence)
-	}
-	if !unheard || now.Sub(p.at) >= probeKeeps {
+	case now.Sub(p.at) >= probeKeeps:
 		p.result = presenceUnknown
 	}
 	d.claims.Defer(p.result == ownerAnswered)
@@ -113,15 +131,16 @@
 func (d *Node) askPresence() {
 	ctx, cancel := context.WithTimeout(d.ctx, probeMost)
 	defer cancel()
+	began := d.now()
 	result, by, err := d.sendProbe(ctx)
 	now := d.lock()
 	defer d.mu.Unlock()
 	p := &d.prober
-	p.asking = false
+	p.asking, p.next = false, now.Add(p.pause)
 	if d.ctx.Err() != nil {
 		return
 	}
-	d.log.Info("neighbours probed", "result", result.String(), "by", by, "after", now.Sub(p.asked).Round(time.Millisecond), "err", err)
+	d.log.Info("neighbours probed", "result", result.String(), "by", by, "after", now.Sub(began).Round(time.Millisecond), "err", err)
 	if err == nil {
 		p.result, p.at = result, now
 	}
--- a/internal/tool/grid/alone_test.go
+++ b/internal/tool/grid/alone_test.go
@@ -12,6 +12,9 @@
 // ownerWait is how long callers' jobs wait for the first owner of endpoints.
 const ownerWait = 600 * time.Millisecond
 
+// joining is the time after its start in which a VM may not know all owners, and that of a probe.
+const joining = 2 * time.Second
+
 // few is a load that one VM and the endpoints of its failure domain carry.
 func few(do func(*Grid)) Setup {
 	set := faulty(do)
@@ -107,3 +110,21 @@
 		is.True(g.Counts(every, hit+5*time.Second, hit+10*time.Second).Share() >= 0.95)
 	}
 }
+
+// Guards against a VM that asks the store without end for a neighbour that is lost for good.
+func TestLostNeighbourIsProbedForAtTheStartOnly(t *testing.T) {
+	const lost, restarted = 7, 3 // of one failure domain
+	is := is.New(t)
+	set := faulty(func(g *Grid) {
+		g.Kill(g.VM(lost))
+		g.Restart(g.VM(restarted), time.Second)
+	})
+	probes := &moments{words: []string{"neighbours probed"}}
+	set.Log = probes
+	g := play(t, set)
+	steps(t, g, hit, 5)
+	born := g.began.Add(hit + time.Second)
+	is.True(probes.within(born, born.Add(joining)) > 0)
+	is.Equal(probes.within(born.Add(joining), born.Add(time.Hour)), 0)
+	is.True(g.Counts(every, hit+2*time.Second, hit+8*time.Second).Share() >= 0.95)
+}
