A VM that is cut off claims nothing of other failure domains, however long it lasts

Callers saw, in the play of a VM that is restarted and cut off for 14 s: from 10 s after its start on 16 jobs failed and 117 were refused in six seconds.

After ten seconds (30 when it had heard others before) silence counted as the loss of all owners, and 31 groups of other domains were claimed, though a neighbour had answered.

Change: while a VM hears nobody and a neighbour answers its probes, it claims nothing of other domains, and listens for 0.5 s when that ends.

--- a/internal/edge/serve/probe.go
+++ b/internal/edge/serve/probe.go
@@ -123,6 +123,7 @@
 	case now.Sub(p.at) >= probeKeeps:
 		p.result = presenceUnknown
 	}
+	d.claims.CutOff(!h.any && (p.result == neighbourAnswered || p.result == ownerAnswered))
 	d.claims.Defer(p.result == ownerAnswered)
 	d.claims.Succeed(p.result == noneAnswered)
 }
--- a/internal/mesh/claim/claim.go
+++ b/internal/mesh/claim/claim.go
@@ -94,6 +94,9 @@
 	// last did; heir says that none of those that are not heard is there.
 	defers, heir bool
 	deferred     time.Time
+	// cutOff says that this VM hears nobody though others live, and cut when it last did.
+	cutOff bool
+	cut    time.Time
 	// claims is filled anew by each round; a map for each would be a fifth of all that a VM
 	// among 97 allocates.
 	claims map[Group]claimant
@@ -272,6 +275,9 @@
 	if b.defers {
 		b.deferred = now
 	}
+	if b.cutOff {
+		b.cut = now
+	}
 	if len(peers) > 1 && !slices.ContainsFunc(peers, func(p Peer) bool { return !p.Listed }) {
 		b.unheard = now
 	}
@@ -292,6 +298,10 @@
 // Defers reports what Defer was told last.
 func (b *Book) Defers() bool { return b.defers }
 
+// CutOff tells the book whether this VM hears nobody though others surely live. It claims nothing of other failure
+// domains then, however long it lasts.
+func (b *Book) CutOff(on bool) { b.cutOff = on }
+
 // Succeed tells the book whether the VMs of the own failure domain that are not heard are surely not there. Then
 // their endpoints are claimed also by a VM that seems to be isolated.
 func (b *Book) Succeed(on bool) { b.heir = on }
@@ -302,7 +312,7 @@
 	if g.Domain == b.domain {
 		return now.Sub(b.deferred) >= rejoin && (b.heir || !b.isolated)
 	}
-	return !b.isolated
+	return now.Sub(b.cut) >= rejoin && !b.isolated
 }
 
 // relieved reports whether a neighbour can take over what this VM owns.
--- a/internal/mesh/claim/claim_test.go
+++ b/internal/mesh/claim/claim_test.go
@@ -328,3 +328,17 @@
 	is.Equal(len(cs), 1)
 	is.Equal(cs[0].Group, x) // and nothing of other domains, whose VMs were not asked
 }
+
+// Guards against a VM that is cut off for long and claims the endpoints of other failure domains in the end.
+func TestVMThatIsCutOffClaimsNothingFar(t *testing.T) {
+	is := is.New(t)
+	k := New(a, "x", 1, t0)
+	k.CutOff(true)
+	at := t0.Add(time.Hour)
+	cs := k.Decide(at, false, gs, nil)
+	is.Equal(len(cs), 1)
+	is.Equal(cs[0].Group, x) // its neighbour owns nothing
+	k.CutOff(false)
+	is.Equal(len(k.Decide(at.Add(rejoin-1), false, gs, nil)), 0)
+	is.Equal(len(k.Decide(at.Add(rejoin), false, gs, nil)), 1)
+}
--- a/internal/task/owner/crash.go
+++ b/internal/task/owner/crash.go
@@ -17,7 +17,9 @@
 	// mostExcused is how many losses of a task are put down to what else was lost beside them: a task that
 	// crashes endpoints while others come and go is given up after two more.
 	mostExcused = 2
-	waveLeast   = 3
+	// waveLeast is how many endpoints are lost together for them to count as a wave: two may be those of two tasks
+	// that crash endpoints.
+	waveLeast = 3
 	// cohortFor is the time within which endpoints that are lost together are noticed: one that is idle, or
 	// under orders only, is looked at up to a second later than one whose lease is renewed.
 	cohortFor = 1200 * time.Millisecond
--- a/internal/tool/grid/alone_test.go
+++ b/internal/tool/grid/alone_test.go
@@ -128,3 +128,26 @@
 	is.Equal(probes.within(born.Add(joining), born.Add(time.Hour)), 0)
 	is.True(g.Counts(every, hit+2*time.Second, hit+8*time.Second).Share() >= 0.95)
 }
+
+// Guards against a VM that is cut off at its start for longer than it waits for others, and claims what they own.
+func TestVMThatIsCutOffForLongTakesNothing(t *testing.T) {
+	const vm, down, cut = 7, 2 * time.Second, 14 * time.Second
+	for seed := range uint64(plays) {
+		is := is.New(t)
+		set := faulty(func(g *Grid) {
+			v := g.VM(vm)
+			g.Kill(v)
+			time.Sleep(down)
+			v = g.Boot(v.Mesh, v.Domain)
+			v.alone.Store(true)
+			time.Sleep(cut)
+			v.alone.Store(false)
+		})
+		set.Span, set.Seed = hit+down+cut, seed+1
+		taken := claims(&set, vm)
+		g := play(t, set)
+		steps(t, g, hit, 9)
+		is.Equal(taken.within(g.began.Add(hit), g.began.Add(hit+down+cut)), 0)
+		is.True(g.Counts(every, hit+down, hit+down+cut).Share() >= 0.95)
+	}
+}
