Test of a daemon's start: its ports come from blocks that one process holds

The test took ports that the kernel chose, closed them and gave them to the daemon; between the two another process can get them.

Change: the ports come from local.Spare, as in the other tests of daemons. The check is as it was; the test is an external one, since tool/local imports this package.

--- a/internal/edge/entry/daemon_test.go
+++ b/internal/edge/entry/daemon_test.go
@@ -1,10 +1,9 @@
-package entry
+package entry_test
 
 import (
 	"context"
 	"io"
 	"log/slog"
-	"net"
 	"net/netip"
 	"testing"
 	"time"
@@ -12,17 +11,18 @@
 	"github.com/matryer/is"
 
 	"dahliawinch/internal/conf/setup"
+	"dahliawinch/internal/edge/entry"
+	"dahliawinch/internal/tool/local"
 )
 
-// free returns an address nobody listens on.
+// free returns an address that no other process is given.
 func free(t *testing.T) netip.AddrPort {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	at, err := local.Spare()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().(*net.TCPAddr).AddrPort()
+	return at
 }
 
 // Symptom: a daemon that is ended right after its start serves for ever, and its
@@ -36,7 +36,7 @@
 		set.Mesh, set.Caller, set.Operator = free(t), free(t), free(t)
 		set.Log, set.List = free(t), free(t) // nobody is there
 		ctx, cancel := context.WithCancel(t.Context())
-		d, err := New(ctx, set, slog.New(slog.NewTextHandler(io.Discard, nil)))
+		d, err := entry.New(ctx, set, slog.New(slog.NewTextHandler(io.Discard, nil)))
 		is.NoErr(err)
 		done := make(chan error, 1)
 		go func() { done <- d.Run(ctx, context.Background()) }()
