Test, red: the only VM of its domain that is cut off claims what others own

Cause: found while reading the change. A VM that hears nobody asks through the store for VMs of its own failure domain. One that is the only VM there has none to ask, and silence counts as the loss of all others after ten seconds.

Not fixed here.

--- a/internal/tool/grid/alone_test.go
+++ b/internal/tool/grid/alone_test.go
@@ -151,3 +151,24 @@
 		is.True(g.Counts(every, hit+down, hit+down+cut).Share() >= 0.95)
 	}
 }
+
+// Guards against a VM that is the only one of its failure domain, is cut off at its start, and claims what others own.
+func TestOnlyVMOfItsDomainThatIsCutOffTakesNothing(t *testing.T) {
+	const vm, down, cut = 1, 2 * time.Second, 14 * time.Second
+	is := is.New(t)
+	set := faulty(func(g *Grid) {
+		v := g.VM(vm)
+		g.Kill(v)
+		time.Sleep(down)
+		v = g.Boot(v.Mesh, v.Domain)
+		v.alone.Store(true)
+		time.Sleep(cut)
+		v.alone.Store(false)
+	})
+	set.VMs, set.Load, set.Span = set.Domains, 80, hit+down+cut
+	far := &moments{words: []string{"msg=group", "group=fd-a/", "vm=" + fakes.Addrs(20, set.VMs)[vm].String(), "no VM owns it"}}
+	set.Log = far
+	g := play(t, set)
+	steps(t, g, hit, 8)
+	is.Equal(far.within(g.began.Add(hit), g.began.Add(hit+down+cut)), 0)
+}
