Grid: a path that is cut answers no dials

Cause: the grid's Absent went by machines without power and VMs that are cut off from all, not by cuts between failure domains, so a VM that starts inside a domain that is cut off waited for others as if they had answered. Change: Absent is true for VMs to which a connection can't be made, which takes both ways.

--- a/internal/tool/grid/net.go
+++ b/internal/tool/grid/net.go
@@ -189,7 +189,12 @@
 // Absent implements serve.Mesh: machines of dead VMs have no power, and no path is one that answers.
 func (p *post) Absent(to netip.AddrPort) bool {
 	vm := p.g.at(to)
-	return (vm == nil || vm.dead.Load() || vm.alone.Load() || p.from.alone.Load()) && time.Since(p.from.born) >= unanswered
+	return (vm == nil || vm.dead.Load() || !p.connects(vm)) && time.Since(p.from.born) >= unanswered
+}
+
+// connects reports whether a connection to a VM can be made, which takes both ways.
+func (p *post) connects(to *VM) bool {
+	return !to.alone.Load() && !p.from.alone.Load() && !p.g.isCut(p.from.Domain, to.Domain) && !p.g.isCut(to.Domain, p.from.Domain)
 }
 
 // Refused implements serve.Mesh: no machine here runs without its process.
