A VM that hears nobody asks VMs of other failure domains too

Callers saw: the only VM of its failure domain is restarted and cut off from the others for 14 s; 10 s after its start it claims 10 groups of another domain, whose owner lives: 20 of 164 jobs fail and 21 are refused in two seconds. Cause: the question through the store went to VMs of the own domain only, and that VM has none, so it never asked. Change: a VM that hears nobody, and no machine refuses its dials, asks wide. An owner of its domain's endpoints answers at once, wherever it is; others answer after a random pause unless somebody has. Any answer means that it is cut off and claims nothing of other domains; its own it claims unless an owner answered.

--- a/internal/edge/serve/node.go
+++ b/internal/edge/serve/node.go
@@ -132,6 +132,7 @@
 	delay     time.Duration // by so much
 	isolated  bool          // it seems to be cut off from all others
 	prober    prober        // of neighbours that are not heard
+	answered  answered      // probes, by whoever it was
 	lossy     time.Time     // until then orders are thought to get lost
 }
 
--- a/internal/edge/serve/own.go
+++ b/internal/edge/serve/own.go
@@ -152,7 +152,7 @@
 // isLost reports whether a VM that was never heard is not there: its machine says so, or it answers neither dials
 // nor a probe through the store. While a neighbour is heard, this VM is not cut off from its domain.
 func (d *Node) isLost(vm netip.AddrPort, h hearing) bool {
-	return d.parts.Mesh.Refused(vm) || (d.parts.Mesh.Absent(vm) && (h.near || d.prober.result == noneAnswered))
+	return d.parts.Mesh.Refused(vm) || (d.parts.Mesh.Absent(vm) && (h.near || d.prober.result.lacksNear()))
 }
 
 // relieved reports whether another VM can take this one's callers.
--- a/internal/edge/serve/probe.go
+++ b/internal/edge/serve/probe.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"slices"
+	"sync"
 	"time"
 
 	"dahliawinch/internal/mesh/claim"
@@ -17,10 +18,12 @@
 // Probe is a question of a VM that hears none of its neighbours, or the answer to one. Both go through
 // the store, which a VM may reach that the others don't.
 type Probe struct {
-	Domain string         // whose VMs are asked
+	Domain string         // whose VMs are asked, and whose endpoints Owns is about
 	From   netip.AddrPort // the VM that asks or answers
 	To     netip.AddrPort // the VM that is answered; not valid in a question
 	Call   uint64         // the question's number, repeated by its answers
+	Wide   bool           // in a question: VMs of other failure domains are asked too
+	Far    bool           // in an answer: it comes from a VM of another failure domain
 	Owns   bool           // the VM that answers owns endpoints of the failure domain
 }
 
@@ -50,22 +53,31 @@
 	// among those who read.
 	probeWait = 10 * time.Second
 	probeLook = 500 * time.Millisecond
+	// farDelay bounds the random pause before a VM of another failure domain answers. One answer is enough, so the
+	// others stay silent once they have read it.
+	farDelay = 100 * time.Millisecond
+	// answeredMost is how many probes are remembered as answered.
+	answeredMost = 1024
 )
 
-// presence is what a VM knows through the store of neighbours that it doesn't hear.
+// presence is what a VM knows through the store of VMs that it doesn't hear.
 type presence uint8
 
 const (
 	presenceUnknown presence = iota
 	noneAnswered
+	farAnswered       // only VMs of other failure domains, and they own no endpoints of this one
 	neighbourAnswered // but owns no endpoints
 	ownerAnswered
 )
 
-var presenceNames = [...]string{"unknown", "none answered", "neighbour answered", "owner answered"}
+var presenceNames = [...]string{"unknown", "none answered", "far vm answered", "neighbour answered", "owner answered"}
 
 func (p presence) String() string { return presenceNames[p] }
 
+// lacksNear reports whether no VM of the own failure domain is there, and nobody owns its endpoints.
+func (p presence) lacksNear() bool { return p == noneAnswered || p == farAnswered }
+
 // prober holds the result of the last probe; the node's lock guards it.
 type prober struct {
 	asking bool
@@ -75,8 +87,8 @@
 	at     time.Time // when the result came
 }
 
-// hearing is whom a VM hears.
-type hearing struct{ any, near bool }
+// hearing is whom a VM hears. A machine that refuses a dial is reached, so this VM is not cut off.
+type hearing struct{ any, near, refused bool }
 
 func (d *Node) hearing() (h hearing) {
 	for _, m := range d.view.Members() {
@@ -84,13 +96,17 @@
 			h.any, h.near = true, h.near || m.Domain == d.cfg.Domain
 		}
 	}
+	h.refused = !h.any && slices.ContainsFunc(d.view.Members(), func(m *view.Member) bool { return d.parts.Mesh.Refused(m.VM) })
 	return h
 }
 
-// isUnheard reports whether a VM of the own failure domain may live though it is not heard, and nobody who is heard
-// can tell. A machine that refuses a dial is reached.
+// isCut reports whether this VM may be cut off from all others.
+func (h hearing) isCut() bool { return !h.any && !h.refused }
+
+// isUnheard reports whether a VM may live though it is not heard, and nobody who is heard can tell. VMs of other
+// failure domains matter to one that may be cut off from all.
 func (d *Node) isUnheard(now time.Time, m *view.Member, h hearing) bool {
-	if m.Domain != d.cfg.Domain {
+	if m.Domain != d.cfg.Domain && !h.isCut() {
 		return false
 	}
 	switch m.State {
@@ -104,7 +120,7 @@
 	}
 }
 
-// lookUnheard asks through the store for neighbours that are not heard, and tells the claims what is known of
+// lookUnheard asks through the store for VMs that are not heard, and tells the claims what is known of
 // them; the caller holds the lock.
 //
 // What goes wrong without it: a VM that is cut off from the others takes their silence for their loss. It claims
@@ -119,21 +135,21 @@
 	case !p.asking && !now.Before(p.next):
 		p.asking = true
 		p.pause = min(max(probeEvery, 2*p.pause), probeRest)
-		d.wg.Go(d.askPresence)
+		d.wg.Go(func() { d.askPresence(h.isCut()) })
 	case now.Sub(p.at) >= probeKeeps:
 		p.result = presenceUnknown
 	}
-	d.claims.CutOff(!h.any && (p.result == neighbourAnswered || p.result == ownerAnswered))
+	d.claims.CutOff(!h.any && p.result >= farAnswered)
 	d.claims.Defer(p.result == ownerAnswered)
-	d.claims.Succeed(p.result == noneAnswered)
+	d.claims.Succeed(p.result.lacksNear())
 }
 
-// askPresence probes once and takes in the result.
-func (d *Node) askPresence() {
+// askPresence probes once and takes in the result; wide asks VMs of other failure domains too.
+func (d *Node) askPresence(wide bool) {
 	ctx, cancel := context.WithTimeout(d.ctx, probeMost)
 	defer cancel()
 	began := d.now()
-	result, by, err := d.sendProbe(ctx)
+	result, by, err := d.sendProbe(ctx, wide)
 	now := d.lock()
 	defer d.mu.Unlock()
 	p := &d.prober
@@ -141,19 +157,19 @@
 	if d.ctx.Err() != nil {
 		return
 	}
-	d.log.Info("neighbours probed", "result", result.String(), "by", by, "after", now.Sub(began).Round(time.Millisecond), "err", err)
+	d.log.Info("neighbours probed", "wide", wide, "result", result.String(), "by", by, "after", now.Sub(began).Round(time.Millisecond), "err", err)
 	if err == nil {
 		p.result, p.at = result, now
 	}
 }
 
 // sendProbe posts a question and waits for answers, up to the first of an owner.
-func (d *Node) sendProbe(ctx context.Context) (result presence, by netip.AddrPort, err error) {
+func (d *Node) sendProbe(ctx context.Context, wide bool) (result presence, by netip.AddrPort, err error) {
 	_, from, err := d.parts.Presence.Newest(ctx)
 	if err != nil {
 		return presenceUnknown, by, fmt.Errorf("find the end of the probes: %w", err)
 	}
-	q := Probe{Domain: d.cfg.Domain, From: d.cfg.VM, Call: rand.Uint64()}
+	q := Probe{Domain: d.cfg.Domain, From: d.cfg.VM, Call: rand.Uint64(), Wide: wide}
 	began := d.now()
 	if err := d.parts.Presence.Post(ctx, q); err != nil {
 		return presenceUnknown, by, fmt.Errorf("post a probe: %w", err)
@@ -168,18 +184,33 @@
 		}
 		from = b.Next
 		for _, u := range b.All {
-			switch a := u.Value; {
-			case a.To != q.From || a.Call != q.Call:
-			case a.Owns:
-				return ownerAnswered, a.From, nil
-			default:
-				result, by = neighbourAnswered, a.From
+			a := u.Value
+			if a.To != q.From || a.Call != q.Call {
+				continue
+			}
+			if r := a.shows(); r > result {
+				result, by = r, a.From
+			}
+			if result == ownerAnswered {
+				return result, by, nil
 			}
 		}
 	}
 	return result, by, nil
 }
 
+// shows is what an answer tells the VM that asked.
+func (p Probe) shows() presence {
+	switch {
+	case p.Owns:
+		return ownerAnswered
+	case p.Far:
+		return farAnswered
+	default:
+		return neighbourAnswered
+	}
+}
+
 // answerProbes answers what VMs ask through the store, while this VM is one of the readers of its failure domain.
 func (d *Node) answerProbes() {
 	from, known := int64(0), false
@@ -214,26 +245,58 @@
 		return from, fmt.Errorf("read probes: %w", err)
 	}
 	for _, u := range b.All {
-		if q := u.Value; u.Err == nil && !u.Gone && q.Domain == d.cfg.Domain && q.From != d.cfg.VM && !q.To.IsValid() {
-			d.wg.Go(func() { d.answerProbe(q) })
+		switch p := u.Value; {
+		case u.Err != nil || u.Gone || p.From == d.cfg.VM:
+		case p.To.IsValid():
+			d.answered.add(p.Call)
+		case p.Domain == d.cfg.Domain || p.Wide:
+			d.wg.Go(func() { d.answerProbe(p) })
 		}
 	}
 	return b.Next, nil
 }
 
+// answerProbe answers a question, if this VM's answer may tell more than those that are there.
 func (d *Node) answerProbe(q Probe) {
-	a := Probe{Domain: d.cfg.Domain, From: d.cfg.VM, To: q.From, Call: q.Call, Owns: d.ownsNear()}
+	a := Probe{Domain: q.Domain, From: d.cfg.VM, To: q.From, Call: q.Call, Far: q.Domain != d.cfg.Domain, Owns: d.ownsIn(q.Domain)}
+	if a.Far && !a.Owns {
+		pause(d.ctx, rand.N(farDelay))
+		if d.answered.has(q.Call) {
+			return
+		}
+	}
 	ctx, cancel := context.WithTimeout(d.ctx, probeMost)
 	defer cancel()
 	err := d.parts.Presence.Post(ctx, a)
-	d.log.Info("probe answered", "from", q.From, "call", q.Call, "owns", a.Owns, "err", err)
+	d.log.Info("probe answered", "from", q.From, "call", q.Call, "domain", q.Domain, "owns", a.Owns, "err", err)
 }
 
-// ownsNear reports whether this VM owns endpoints of its failure domain and keeps them.
-func (d *Node) ownsNear() bool {
+// ownsIn reports whether this VM owns endpoints of a failure domain and keeps them.
+func (d *Node) ownsIn(domain string) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return slices.ContainsFunc(d.claims.Groups(), func(g claim.Group) bool {
-		return g.Domain == d.cfg.Domain && !d.claims.Owns(g).Giving
+		return g.Domain == domain && !d.claims.Owns(g).Giving
 	})
 }
+
+// answered are the numbers of probes that were answered lately.
+type answered struct {
+	mu    sync.Mutex
+	calls map[uint64]bool
+}
+
+func (a *answered) add(call uint64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.calls == nil || len(a.calls) == answeredMost {
+		a.calls = map[uint64]bool{}
+	}
+	a.calls[call] = true
+}
+
+func (a *answered) has(call uint64) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.calls[call]
+}
--- a/internal/edge/serve/probe_test.go
+++ b/internal/edge/serve/probe_test.go
@@ -13,6 +13,7 @@
 
 	"dahliawinch/internal/mesh/claim"
 	"dahliawinch/internal/plat/fakes"
+	"dahliawinch/internal/plat/feed"
 )
 
 // posted is a topic of probes that answers each question.
@@ -59,6 +60,9 @@
 		"an owner":               {posted{answers: []Probe{{From: third}, {From: probed, Owns: true}}}, ownerAnswered},
 		"one that owns nothing":  {posted{answers: []Probe{{From: probed}}}, neighbourAnswered},
 		"nobody":                 {posted{}, noneAnswered},
+		"a far VM":               {posted{answers: []Probe{{From: third, Far: true}}}, farAnswered},
+		"a far owner":            {posted{answers: []Probe{{From: third, Far: true, Owns: true}}}, ownerAnswered},
+		"one near, one far":      {posted{answers: []Probe{{From: probed}, {From: third, Far: true}}}, neighbourAnswered},
 		"another probe's answer": {posted{answers: []Probe{{From: probed, To: third, Call: 1, Owns: true}}}, noneAnswered},
 		"too late":               {posted{late: probeLeast + time.Millisecond, answers: []Probe{{From: probed, Owns: true}}}, noneAnswered},
 		"a slow store":           {posted{takes: 100 * time.Millisecond, late: 450 * time.Millisecond, answers: []Probe{{From: probed, Owns: true}}}, ownerAnswered},
@@ -71,7 +75,7 @@
 				p.Put("a", Probe{From: third, To: third, Call: 7, Owns: true}) // of former days
 				n := started(t)
 				n.parts.Presence = p
-				got, _, err := n.sendProbe(t.Context())
+				got, _, err := n.sendProbe(t.Context(), false)
 				is.NoErr(err)
 				is.Equal(got, c.want)
 				p.wg.Wait()
@@ -87,7 +91,7 @@
 	is := is.New(t)
 	n := started(t)
 	n.parts.Presence = &posted{Topic: fakes.NewTopic[Probe](), err: errAway}
-	got, _, err := n.sendProbe(t.Context())
+	got, _, err := n.sendProbe(t.Context(), false)
 	is.True(errors.Is(err, errAway))
 	is.Equal(got, presenceUnknown)
 }
@@ -117,3 +121,40 @@
 		}
 	}
 }
+
+// Guards against a wide question that no other failure domain answers, or all of them do.
+func TestWideProbesAreAnsweredOnceFromAfar(t *testing.T) {
+	for name, c := range map[string]struct {
+		owns, answered bool
+		want           int
+	}{
+		"first":           {false, false, 1},
+		"answered before": {false, true, 0},
+		"owner":           {true, true, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			n := started(t)
+			p := &posted{Topic: fakes.NewTopic[Probe]()}
+			n.parts.Presence = p
+			if c.owns {
+				n.mu.Lock()
+				n.claims.Decide(n.now().Add(time.Minute), false, []claim.Seat{{Group: claim.Group{Domain: "b"}}}, nil)
+				n.mu.Unlock()
+			}
+			p.Put("b", Probe{Domain: "b", From: probed, Call: 1, Wide: true})
+			if c.answered {
+				p.Put("b", Probe{Domain: "b", From: third, To: probed, Call: 1, Far: true})
+			}
+			from, err := n.readProbes(0, true)
+			is.NoErr(err)
+			n.wg.Wait()
+			b, err := p.Next(t.Context(), from, feed.Ask{})
+			is.NoErr(err)
+			is.Equal(len(b.All), c.want)
+			for _, u := range b.All {
+				is.Equal(u.Value, Probe{Domain: "b", From: n.cfg.VM, To: probed, Call: 1, Far: true, Owns: c.owns})
+			}
+		})
+	}
+}
--- a/internal/tool/grid/alone_test.go
+++ b/internal/tool/grid/alone_test.go
@@ -172,3 +172,51 @@
 	steps(t, g, hit, 8)
 	is.Equal(far.within(g.began.Add(hit), g.began.Add(hit+down+cut)), 0)
 }
+
+// Guards against the only VM of its failure domain that, after a loss of all, waits for VMs that are lost.
+func TestOnlyVMOfItsDomainThatComesBackServesSoon(t *testing.T) {
+	const vm, down = 1, time.Second
+	for seed := range uint64(plays) {
+		is := is.New(t)
+		set := few(func(g *Grid) {
+			for n := range g.VMs {
+				g.Kill(g.VM(n))
+			}
+			time.Sleep(down)
+			g.Boot(g.VM(vm).Mesh, g.VM(vm).Domain)
+		})
+		set.VMs, set.Seed = set.Domains, seed+1
+		claimed := claims(&set, vm)
+		g := play(t, set)
+		steps(t, g, hit+down, 3)
+		born := g.began.Add(hit + down)
+		is.True(claimed.within(born, born.Add(ownerWait)) > 0)
+		is.True(g.Counts(every, hit+down+2500*time.Millisecond, hit+down+5500*time.Millisecond).Share() >= 0.95)
+	}
+}
+
+// Guards against a VM that is restarted while its failure domain is cut off from the other domains, hears through the
+// store that these live, and leaves its own endpoints idle.
+func TestOnlyVMOfADomainThatIsCutOffServesIt(t *testing.T) {
+	const vm, down, cut = 1, 2 * time.Second, 14 * time.Second
+	for seed := range uint64(plays) {
+		is := is.New(t)
+		set := faulty(func(g *Grid) {
+			v := g.VM(vm)
+			g.Isolate(v.Domain, true)
+			g.Away(v.Domain, false)
+			g.Kill(v)
+			time.Sleep(down)
+			g.Boot(v.Mesh, v.Domain)
+			time.Sleep(cut)
+			g.Isolate(v.Domain, false)
+		})
+		set.VMs, set.Load, set.Span, set.Seed = set.Domains, 80, hit+down+cut, seed+1
+		claimed := claims(&set, vm)
+		g := play(t, set)
+		steps(t, g, hit, 8)
+		born := g.began.Add(hit + down)
+		is.True(claimed.within(born, born.Add(time.Second)) > 0)
+		is.True(g.Counts(every, hit+down+2*time.Second, hit+down+cut).Share() >= 0.95)
+	}
+}
