The last VM of all claims endpoints of other domains within seconds

Callers saw: after a loss of all VMs but one, its endpoints alone serve; those of the other three domains stay idle for 30 s, or for ten if the VM was restarted. Cause: silence of all others may be a cut of this VM, so it waits; nothing told the two apart for other domains. Change: two wide probes in a row that nobody answers say that no other VM is there. Probes of the first 2.5 s don't count: VMs that were started together don't answer yet.

--- a/internal/edge/serve/own.go
+++ b/internal/edge/serve/own.go
@@ -137,11 +137,12 @@
 // peers are the other VMs as the claims see them, until the next call; the caller holds the lock.
 func (d *Node) peers(now time.Time) []claim.Peer {
 	all, h := d.view.Members(), d.hearing()
+	last := d.isLast(h)
 	ps := d.heard[:0]
 	for _, m := range all {
 		ps = append(ps, claim.Peer{
 			VM: m.VM, Domain: m.Domain, Leaving: m.State == view.Left || m.Beat.Leaving, Since: d.since[m.VM],
-			Live:   (m.State == view.Alive || m.State == view.Suspect) || (m.State == view.Left && now.Sub(m.Heard) < lostAfter),
+			Live:   m.State == view.Alive || (m.State == view.Suspect && !last) || (m.State == view.Left && now.Sub(m.Heard) < lostAfter),
 			Claims: m.Beat.Claims, Strained: m.Beat.Strained, Listed: m.State == view.Listed, Absent: m.State == view.Listed && d.isLost(m.VM, h), Silent: m.State == view.Suspect, Power: float64(m.Beat.Power),
 		})
 	}
--- a/internal/edge/serve/probe.go
+++ b/internal/edge/serve/probe.go
@@ -56,6 +56,12 @@
 	// farDelay bounds the random pause before a VM of another failure domain answers. One answer is enough, so the
 	// others stay silent once they have read it.
 	farDelay = 100 * time.Millisecond
+	// lastAfter is how many wide probes in a row nobody may answer until this VM is the last one: all others must
+	// have missed both.
+	lastAfter = 2
+	// othersStart is the age from which a VM takes a wide probe without an answer for one: before, others that were
+	// started with it, up to a second later, don't answer yet.
+	othersStart = joinFor + time.Second
 	// answeredMost is how many probes are remembered as answered.
 	answeredMost = 1024
 )
@@ -85,6 +91,15 @@
 	pause  time.Duration // the last one before that
 	result presence
 	at     time.Time // when the result came
+	misses int       // wide probes in a row that nobody answered
+}
+
+// rest is the pause after the next probe. It stays short while nobody answers and this VM may be the last one.
+func (p *prober) rest(h hearing) time.Duration {
+	if h.isCut() && p.result == noneAnswered && p.misses < lastAfter {
+		return probeEvery
+	}
+	return min(max(probeEvery, 2*p.pause), probeRest)
 }
 
 // hearing is whom a VM hears. A machine that refuses a dial is reached, so this VM is not cut off.
@@ -134,16 +149,20 @@
 		*p = prober{asking: p.asking}
 	case !p.asking && !now.Before(p.next):
 		p.asking = true
-		p.pause = min(max(probeEvery, 2*p.pause), probeRest)
+		p.pause = p.rest(h)
 		d.wg.Go(func() { d.askPresence(h.isCut()) })
 	case now.Sub(p.at) >= probeKeeps:
-		p.result = presenceUnknown
+		p.result, p.misses = presenceUnknown, 0
 	}
 	d.claims.CutOff(!h.any && p.result >= farAnswered)
 	d.claims.Defer(p.result == ownerAnswered)
 	d.claims.Succeed(p.result.lacksNear())
+	d.claims.SucceedAll(d.isLast(h))
 }
 
+// isLast reports whether surely no other VM is there; the caller holds the lock.
+func (d *Node) isLast(h hearing) bool { return h.isCut() && d.prober.misses >= lastAfter }
+
 // askPresence probes once and takes in the result; wide asks VMs of other failure domains too.
 func (d *Node) askPresence(wide bool) {
 	ctx, cancel := context.WithTimeout(d.ctx, probeMost)
@@ -158,8 +177,15 @@
 		return
 	}
 	d.log.Info("neighbours probed", "wide", wide, "result", result.String(), "by", by, "after", now.Sub(began).Round(time.Millisecond), "err", err)
-	if err == nil {
-		p.result, p.at = result, now
+	if err != nil {
+		return
+	}
+	p.result, p.at = result, now
+	switch {
+	case !wide || result != noneAnswered:
+		p.misses = 0
+	case began.Sub(d.began) >= othersStart:
+		p.misses++
 	}
 }
 
--- a/internal/mesh/claim/claim.go
+++ b/internal/mesh/claim/claim.go
@@ -71,9 +71,9 @@
 	isolated       bool
 	alone, unheard time.Time
 	// defers says that a VM of the own domain that is not heard owns endpoints there, and deferred when it
-	// last did; heir says that none of those that are not heard is there.
-	defers, heir bool
-	deferred     time.Time
+	// last did; heir says that none of those that are not heard is there, and last that no other VM at all is.
+	defers, heir, last bool
+	deferred           time.Time
 	// cutOff says that this VM hears nobody though others live, and cut when it last did.
 	cutOff bool
 	cut    time.Time
--- a/internal/mesh/claim/claim_test.go
+++ b/internal/mesh/claim/claim_test.go
@@ -329,6 +329,18 @@
 	is.Equal(cs[0].Group, x) // and nothing of other domains, whose VMs were not asked
 }
 
+// Guards against the last VM of all that claims nothing of other failure domains, since it seems to be isolated or
+// listens for VMs that were never heard.
+func TestLastVMSucceedsAll(t *testing.T) {
+	is := is.New(t)
+	k := New(a, "x", 1, t0)
+	k.Isolate(true)
+	k.SucceedAll(true)
+	at, peers := t0.Add(settleFar), []Peer{{VM: b, Domain: "y", Listed: true}}
+	is.Equal(len(k.Decide(at.Add(-1), false, gs, peers)), 1) // of its own domain
+	is.Equal(len(k.Decide(at, false, gs, peers)), 1)
+}
+
 // Guards against a VM that is cut off for long and claims the endpoints of other failure domains in the end.
 func TestVMThatIsCutOffClaimsNothingFar(t *testing.T) {
 	is := is.New(t)
--- a/internal/mesh/claim/settle.go
+++ b/internal/mesh/claim/settle.go
@@ -32,14 +32,18 @@
 // domain is not known may be a neighbour.
 func (b *Book) settled(now time.Time, g Seat, peers []Peer) bool {
 	age := now.Sub(b.began)
-	if now.Sub(b.alone) < rejoin && (!b.heir || g.Domain != b.domain) {
+	if now.Sub(b.alone) < rejoin && !b.heirOf(g.Group) {
 		return false
 	}
 	if g.Domain != b.domain {
-		if b.unheard.Equal(now) { // still
+		switch {
+		case b.last:
+			return age >= settleFar
+		case b.unheard.Equal(now): // still
 			return age >= settleUnheard
+		default:
+			return age >= settleFar && now.Sub(b.unheard) >= rejoin
 		}
-		return age >= settleFar && now.Sub(b.unheard) >= rejoin
 	}
 	near := func(p Peer) bool { return p.Domain == b.domain }
 	silent := slices.ContainsFunc(peers, func(p Peer) bool { return p.Listed && !p.Absent && (near(p) || p.Domain == "") })
@@ -95,11 +99,21 @@
 // their endpoints are claimed also by a VM that seems to be isolated.
 func (b *Book) Succeed(on bool) { b.heir = on }
 
+// SucceedAll tells the book whether surely no other VM is there at all. Then everything is claimed also by a VM that
+// seems to be isolated.
+func (b *Book) SucceedAll(on bool) { b.last = on }
+
+// heirOf reports whether the silence of those who may own a group surely means that they are lost.
+func (b *Book) heirOf(g Group) bool { return b.last || (b.heir && g.Domain == b.domain) }
+
 // mayClaim reports whether silence may count as the loss of a group's owner. One that answered through the store
 // is heard some time after the path to it has healed.
 func (b *Book) mayClaim(now time.Time, g Group) bool {
+	if b.isolated && !b.heirOf(g) {
+		return false
+	}
 	if g.Domain == b.domain {
-		return now.Sub(b.deferred) >= rejoin && (b.heir || !b.isolated)
+		return now.Sub(b.deferred) >= rejoin
 	}
-	return now.Sub(b.cut) >= rejoin && !b.isolated
+	return now.Sub(b.cut) >= rejoin
 }
--- a/internal/tool/grid/alone_test.go
+++ b/internal/tool/grid/alone_test.go
@@ -220,3 +220,69 @@
 		is.True(g.Counts(every, hit+down+2*time.Second, hit+down+cut).Share() >= 0.95)
 	}
 }
+
+// Guards against the last VM of all that leaves the endpoints of other failure domains idle, as long as one would that
+// is cut off.
+func TestLastVMClaimsAllSoon(t *testing.T) {
+	const vm, down, soon = 1, time.Second, 5 * time.Second
+	for name, restarted := range map[string]bool{"left": false, "comes back": true} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(plays) {
+				is := is.New(t)
+				var idle []string
+				set := few(func(g *Grid) {
+					for n := range g.VMs {
+						if restarted || n != vm {
+							g.Kill(g.VM(n))
+						}
+					}
+					if restarted {
+						time.Sleep(down)
+						g.Boot(g.VM(vm).Mesh, g.VM(vm).Domain)
+					}
+					time.Sleep(soon)
+					for n := range g.Domains {
+						if !g.VM(vm).Node.Owns(domainName(n)) {
+							idle = append(idle, domainName(n))
+						}
+					}
+				})
+				set.Seed = seed + 1
+				g := play(t, set)
+				steps(t, g, hit, 5)
+				is.Equal(len(idle), 0)
+			}
+		})
+	}
+}
+
+// Guards against a VM that is cut off when all are started, takes the others for lost before they can answer, and claims
+// their endpoints.
+func TestVMThatIsCutOffAtAStartOfAllTakesNothing(t *testing.T) {
+	const vm, down, cut = 1, time.Second, 14 * time.Second
+	for seed := range uint64(plays) {
+		is := is.New(t)
+		set := faulty(func(g *Grid) {
+			for n := range g.VMs {
+				g.Kill(g.VM(n))
+			}
+			time.Sleep(down)
+			v := g.Boot(g.VM(vm).Mesh, g.VM(vm).Domain)
+			v.alone.Store(true)
+			for n := range g.VMs {
+				if n != vm {
+					time.Sleep(time.Second / time.Duration(g.VMs))
+					g.Boot(g.VM(n).Mesh, g.VM(n).Domain)
+				}
+			}
+			time.Sleep(cut)
+			v.alone.Store(false)
+		})
+		set.VMs, set.Load, set.Span, set.Seed = set.Domains, 80, hit+down+cut, seed+1
+		taken := claims(&set, vm)
+		taken.words = append(taken.words, "group=fd-a/")
+		g := play(t, set)
+		steps(t, g, hit, 6)
+		is.Equal(taken.within(g.began.Add(hit), g.began.Add(hit+down+cut)), 0)
+	}
+}
