Orders have their place when they get to the link

Cause: an order's place was its number in the job, but a job's orders get to the link in any order, so late places seemed to take no longer than early ones. Evidence: 'start unanswered' tells place and limit now: place 41, limit 196 ms, that is 39 ms expected, where 41 orders of 4.8 ms wait for each other. Change: Send gives a place as a call gets to the link; Begin counts and gives the time-out only.

TestTasksOfTakenEndpointsBeginAnewSoon needs a VM that takes a living owner's endpoints.

--- a/internal/base/pace/pace.go
+++ b/internal/base/pace/pace.go
@@ -48,7 +48,8 @@
 	least, most time.Duration
 
 	mu    sync.Mutex
-	way   int // calls on their way
+	way   int // calls on their way,
+	sent  int // of which so many have got to the link
 	mean  time.Duration
 	dev   time.Duration
 	crowd crowd
@@ -110,17 +111,28 @@
 	p.last, p.row = now, 0
 }
 
-// Begin counts calls that are sent together as on their way and returns how many are, these
-// included, and how long each of them may take. An End for each must follow.
+// Begin counts calls that are sent together as on their way and returns how long each of them may take. A Send and
+// an End for each must follow.
 //
 // What goes wrong if each is counted as it is sent: the calls of one job go out in any order, so one
 // that was counted early and waits for the link behind the others has the time of an early place. It
 // is taken for lost though it is on its way. One notices orders without an answer on narrow links.
-func (p *Pace) Begin(calls int) (way int, timeout time.Duration) {
+func (p *Pace) Begin(calls int) (timeout time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.way += calls
-	return p.way, p.timeout(p.way)
+	return p.timeout(p.way)
+}
+
+// Send takes in that a call gets to the link now, and returns its place there, the first of which is 1.
+//
+// What goes wrong if calls have places in the order in which they are counted: those of one job get to the link in
+// any order, so a late place seems to cost no time. The first large job's calls are taken for lost.
+func (p *Pace) Send() (place int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.sent++
+	return p.sent
 }
 
 // End takes in that a call is not on its way any more.
@@ -128,11 +140,11 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.way--
+	p.sent--
 }
 
-// Note takes in when a call was answered, how long that took, and how many were on their way
-// when it was sent.
-func (p *Pace) Note(now time.Time, took time.Duration, way int) {
+// Note takes in when a call was answered, how long that took, and which place it had.
+func (p *Pace) Note(now time.Time, took time.Duration, place int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.last, p.row = now, 0
@@ -141,8 +153,8 @@
 	if p.crowd.samples == 0 {
 		p.mean, p.dev = took, took/2
 	}
-	p.crowd.note(way, took)
-	d := took - p.expect(way)
+	p.crowd.note(place, took)
+	d := took - p.expect(place)
 	p.mean += time.Duration(gain * float64(took-p.mean))
 	p.dev += time.Duration(devGain * (max(float64(d), -float64(d)) - float64(p.dev)))
 }
--- a/internal/base/pace/pace_test.go
+++ b/internal/base/pace/pace_test.go
@@ -86,7 +86,8 @@
 	}
 	var all []sent
 	for i := range calls {
-		way, limit := p.Begin(1)
+		limit := p.Begin(1)
+		way := p.Send()
 		took := q.base + time.Duration(i+1)*q.each
 		if took > limit {
 			lost++
@@ -132,7 +133,7 @@
 		queue{20 * time.Microsecond, 3 * time.Millisecond}.job(p, now, 2+r.IntN(15))
 		now = now.Add(100 * time.Millisecond)
 	}
-	_, limit := p.Begin(1)
+	limit := p.Begin(1)
 	is.Equal(limit, 25*time.Millisecond)
 }
 
@@ -140,8 +141,27 @@
 func TestFirstCallsAreGivenTimeByTheirNumber(t *testing.T) {
 	is := is.New(t)
 	p := New(time.Millisecond, time.Second)
-	_, few := p.Begin(firstWay)
-	_, many := p.Begin(2 * firstWay)
-	is.Equal(few, first)
-	is.Equal(many, 3*first)
+	is.Equal(p.Begin(firstWay), first)
+	is.Equal(p.Begin(2*firstWay), 3*first)
+}
+
+// Guards against the calls of a large job that are taken for lost after small ones, whose calls got to the link in any
+// order.
+func TestCallsOfALargeJobAreNotTakenForLost(t *testing.T) {
+	const each, base, small, large = 5 * time.Millisecond, 9 * time.Millisecond, 8, 40
+	is := is.New(t)
+	p := New(25*time.Millisecond, 400*time.Millisecond)
+	now := time.Unix(1_700_000_000, 0)
+	for range 200 {
+		p.Begin(small)
+		for range small {
+			place := p.Send()
+			p.Note(now, base+time.Duration(place)*each, place)
+		}
+		for range small {
+			p.End()
+		}
+		now = now.Add(100 * time.Millisecond)
+	}
+	is.True(p.Begin(large) >= base+large*each)
 }
--- a/internal/edge/serve/order_test.go
+++ b/internal/edge/serve/order_test.go
@@ -62,8 +62,7 @@
 func ordered(t *testing.T, answers ...error) (n *Node, a *script, run *lease.Run) {
 	a = &script{answers: answers}
 	n, s := owning(t, a)
-	way, limit := n.pace.Begin(1)
-	n.start(s, way, limit)
+	n.start(s, n.pace.Begin(1))
 	n.Close()
 	n.Wait()
 	return n, a, s.Run
@@ -104,8 +103,8 @@
 	n, a, _ := ordered(t, errTimeout)
 	for range 50 {
 		n.pace.Note(time.Now(), 3*time.Millisecond, 1)
-		way, limit := n.pace.Begin(1)
-		_ = n.order(&lease.Endpoint{}, a.starts[0], way, limit) // lost
+		_, err := n.order(&lease.Endpoint{}, a.starts[0], n.pace.Begin(1))
+		is.Equal(err, errTimeout)
 	}
 	is.Equal(n.pace.Timeout(), orderLeast)
 }
--- a/internal/edge/serve/perform.go
+++ b/internal/edge/serve/perform.go
@@ -45,10 +45,10 @@
 			return
 		}
 		if n := len(acts.Starts); n > 0 {
-			way, limit := d.pace.Begin(n)
+			limit := d.pace.Begin(n)
 			for i := range acts.Starts {
-				s, place := acts.Starts[i], way-n+1+i
-				d.wg.Go(func() { d.start(s, place, limit) })
+				s := acts.Starts[i]
+				d.wg.Go(func() { d.start(s, limit) })
 			}
 		}
 		for i := range acts.Stops {
@@ -81,22 +81,23 @@
 
 // start orders a run. An order without an answer is repeated with the same number, which
 // does nothing where the run is or was there; nothing else finds out as soon whether it is. The first
-// is counted as on its way already, has a place there and a time limit.
-func (d *Node) start(s owner.Start, place int, limit time.Duration) {
+// is counted as on its way already, and has a time limit.
+func (d *Node) start(s owner.Start, limit time.Duration) {
 	d.parts.Meter.Start()
 	n := lease.Name{Task: s.Run.Name, Num: s.Run.Num}
 	o := agent.Start{Name: n, Spec: s.Spec, Until: s.Until, Fence: s.Fence}
 	silent := 0
 	var err error
 	for {
-		if err = d.order(s.At, o, place, limit); !agent.Unanswered(err) {
+		place := 0
+		if place, err = d.order(s.At, o, limit); !agent.Unanswered(err) {
 			break
 		}
 		silent++
-		if !d.missed(s) || silent == startTries {
+		if !d.missed(s, place, limit) || silent == startTries {
 			break
 		}
-		place, limit = d.pace.Begin(1)
+		limit = d.pace.Begin(1)
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -108,30 +109,32 @@
 	d.perform()
 }
 
-// order sends a start once that is counted as on its way.
-func (d *Node) order(ep *lease.Endpoint, o agent.Start, place int, limit time.Duration) error {
+// order sends a start once that is counted as on its way. It returns its place among those on the link.
+func (d *Node) order(ep *lease.Endpoint, o agent.Start, limit time.Duration) (place int, err error) {
 	began := d.now()
+	place = d.pace.Send()
 	defer d.pace.End()
 	ctx, cancel := context.WithTimeout(d.ctx, limit)
 	defer cancel()
-	err := d.parts.Agent.Start(ctx, target(ep), o)
+	err = d.parts.Agent.Start(ctx, target(ep), o)
 	switch {
 	case agent.Unanswered(err):
 		d.pace.Miss(began)
 	case !errors.Is(err, agent.ErrUnsent):
 		d.pace.Note(d.now(), d.now().Sub(began), place)
 	}
-	return err
+	return place, err
 }
 
-// missed takes in that a start got no answer and reports whether it is still open.
-func (d *Node) missed(s owner.Start) bool {
+// missed takes in that a start got no answer within its limit and reports whether it is still open. Its place is that
+// among the orders on the link.
+func (d *Node) missed(s owner.Start, place int, limit time.Duration) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.now()
 	d.lossy = now.Add(lossyFor)
 	open := d.ctx.Err() == nil && s.Run.Stage == lease.Sent
-	d.log.Info("start unanswered", "job", s.Run.Task.Job, "task", s.Run.Name, "run", s.Run.Num, "endpoint", s.At.ID, "after", now.Sub(s.Run.At).Round(time.Millisecond), "open", open)
+	d.log.Info("start unanswered", "job", s.Run.Task.Job, "task", s.Run.Name, "run", s.Run.Num, "endpoint", s.At.ID, "after", now.Sub(s.Run.At).Round(time.Millisecond), "place", place, "limit", limit.Round(time.Millisecond), "open", open)
 	return open
 }
 
--- a/internal/tool/grid/taken_test.go
+++ b/internal/tool/grid/taken_test.go
@@ -12,6 +12,7 @@
 // bound is what a stop takes, and two heartbeats.
 func TestTasksOfTakenEndpointsBeginAnewSoon(t *testing.T) {
 	const down, deaf = 2 * time.Second, 4 * time.Second
+	const reads = 200 * time.Millisecond // what is in the store, before it asks there for others
 	is := is.New(t)
 	var all []time.Duration
 	for seed := range uint64(plays) {
@@ -25,10 +26,13 @@
 			g.Kill(v)
 			time.Sleep(down)
 			v = g.Boot(v.Mesh, v.Domain)
-			v.deaf.Store(true) // so that it claims what its neighbour owns
+			v.deaf.Store(true) // so that it claims what its neighbour owns,
 			booted = time.Now()
-			time.Sleep(deaf)
+			time.Sleep(reads)
+			g.Turn(v, true) // since it can't ask
+			time.Sleep(deaf - reads)
 			v.deaf.Store(false)
+			g.Turn(v, false)
 		}}}
 		g := play(t, set)
 		halts := g.Judge.Halts(booted, booted.Add(deaf))
