--- a/internal/edge/serve/perform.go
+++ b/internal/edge/serve/perform.go
@@ -89,7 +89,7 @@
 	silent := 0
 	var err error
 	for {
-		place := 0
+		var place int
 		if place, err = d.order(s.At, o, limit); !agent.Unanswered(err) {
 			break
 		}
