Test, red: VMs that are cut off together claim what the others own

Callers see: two VMs of eight, of two failure domains, hear each other and nobody else for 8 s, and reach store and endpoints: 43 of 876 jobs fail and 119 to 122 are refused meanwhile. Cause: a VM asks through the store when it hears nobody; each of these hears the other, takes six VMs for lost and claims 42 groups of living owners together. Change: the grid knows parties of VMs between which no message passes; the test counts the claims of the two.

--- a/internal/tool/grid/alone_test.go
+++ b/internal/tool/grid/alone_test.go
@@ -1,6 +1,7 @@
 package grid
 
 import (
+	"io"
 	"testing"
 	"time"
 
@@ -286,3 +287,25 @@
 		is.Equal(taken.within(g.began.Add(hit), g.began.Add(hit+down+cut)), 0)
 	}
 }
+
+// Guards against VMs that hear each other but are cut off from all others, and claim what these own.
+func TestVMsThatAreCutOffTogetherTakeNothing(t *testing.T) {
+	const cut = 8 * time.Second
+	is := is.New(t)
+	set := faulty(func(g *Grid) {
+		for n := range 2 { // of two failure domains
+			g.VM(n).party.Store(1)
+		}
+		time.Sleep(cut)
+		for n := range 2 {
+			g.VM(n).party.Store(0)
+		}
+	})
+	first := claims(&set, 0)
+	second := claims(&set, 1)
+	set.Log = io.MultiWriter(first, second)
+	g := play(t, set)
+	steps(t, g, hit, 6)
+	from, to := g.began.Add(hit), g.began.Add(hit+cut)
+	is.Equal(first.within(from, to)+second.within(from, to), 0)
+}
--- a/internal/tool/grid/net.go
+++ b/internal/tool/grid/net.go
@@ -82,8 +82,9 @@
 	dead   atomic.Bool
 	ready  atomic.Bool // the balancer sends callers
 	orders atomic.Int64
-	alone  atomic.Bool // no message passes between it and other VMs
-	deaf   atomic.Bool // no message of other VMs reaches it
+	alone  atomic.Bool  // no message passes between it and other VMs
+	party  atomic.Int32 // messages pass within one only
+	deaf   atomic.Bool  // no message of other VMs reaches it
 	// known is set once the balancer has found a VM ready at the address, shunned while it sends it no callers.
 	known, shunned atomic.Bool
 	died           time.Time // for Boot
@@ -116,7 +117,7 @@
 			}
 			time.Sleep(healed)
 		}
-		if l.to.dead.Load() || l.to.alone.Load() || l.to.deaf.Load() || l.g.linkless(l.from.Domain, l.to.Domain) {
+		if l.to.dead.Load() || l.from.isApart(l.to) || l.to.deaf.Load() || l.g.linkless(l.from.Domain, l.to.Domain) {
 			return
 		}
 		l.to.clock.gate() // a paused VM reads later
@@ -142,7 +143,7 @@
 	if vm == nil || vm.dead.Load() || p.from.dead.Load() {
 		return errDead
 	}
-	if p.from.alone.Load() || vm.alone.Load() || vm.deaf.Load() {
+	if p.from.isApart(vm) || vm.deaf.Load() {
 		return errCut
 	}
 	if vm.clock.stands() > deaf && !frame.Answering(m) {
@@ -192,9 +193,14 @@
 	return (vm == nil || vm.dead.Load() || !p.connects(vm)) && time.Since(p.from.born) >= unanswered
 }
 
+// isApart reports whether no message passes between two VMs.
+func (v *VM) isApart(o *VM) bool {
+	return v.alone.Load() || o.alone.Load() || v.party.Load() != o.party.Load()
+}
+
 // connects reports whether a connection to a VM can be made, which takes both ways.
 func (p *post) connects(to *VM) bool {
-	return !to.alone.Load() && !p.from.alone.Load() && !p.g.isCut(p.from.Domain, to.Domain) && !p.g.isCut(to.Domain, p.from.Domain)
+	return !p.from.isApart(to) && !p.g.isCut(p.from.Domain, to.Domain) && !p.g.isCut(to.Domain, p.from.Domain)
 }
 
 // Refused implements serve.Mesh: no machine here runs without its process.
