A member that is gone is doubted for a while yet

Cause: silence counts as loss when another VM says that it doesn't hear the member either; it said so until it gave the member up itself. The first of two survivors gives up on the second's word and is no witness any more; the second waits for good. Evidence: 'vm gone' of five far VMs at one survivor, of none at the other, which is the deputy of the idle domain. Change: members that are gone are named until a VM without witnesses would give them up too.

--- a/internal/mesh/view/view.go
+++ b/internal/mesh/view/view.go
@@ -291,10 +291,15 @@
 	v.publish()
 }
 
-// Doubts lists the members that this VM doesn't hear.
+// Doubts lists the members that this VM doesn't hear, also those that are gone for a while yet.
+//
+// What goes wrong without the latter: of two VMs that are left, the first that takes the others for gone is no
+// witness any more. The other one has none, and waits for them for good. One notices endpoints that nobody claims.
 func (v *View) Doubts(now time.Time) (vms []netip.AddrPort) {
 	for _, m := range v.Members() {
-		if (m.State == Alive || m.State == Suspect) && v.silence(now, m) >= suspectAfter {
+		silence := v.silence(now, m)
+		unheard := (m.State == Alive || m.State == Suspect) && silence >= suspectAfter
+		if unheard || (m.State == Gone && silence < aloneAfter) {
 			vms = append(vms, m.VM)
 		}
 	}
--- a/internal/mesh/view/view_test.go
+++ b/internal/mesh/view/view_test.go
@@ -42,6 +42,20 @@
 	is.Equal(v.Find(vm(1)).State, Gone)
 }
 
+// Guards against the second of two VMs that are left, whose only witness has given the others up and says so no more.
+func TestMemberThatIsGoneIsDoubtedForAWhile(t *testing.T) {
+	is := is.New(t)
+	v := New(vm(0), "a", began)
+	hear(v, began, 1, 1, frame.Beat{})
+	at := began.Add(goneAfter)
+	hear(v, at, 2, 1, frame.Beat{Doubts: []netip.AddrPort{vm(1)}})
+	v.Tick(at)
+	is.Equal(v.Find(vm(1)).State, Gone)
+	is.Equal(v.Doubts(at), []netip.AddrPort{vm(1)})
+	is.Equal(len(v.Doubts(began.Add(aloneAfter-1))), 2) // vm(2) is silent too by now
+	is.Equal(v.Doubts(began.Add(aloneAfter)), []netip.AddrPort{vm(2)})
+}
+
 func TestAloneAVMDecidesLater(t *testing.T) {
 	is := is.New(t)
 	v := New(vm(0), "a", began)
--- a/internal/tool/grid/alone_test.go
+++ b/internal/tool/grid/alone_test.go
@@ -309,3 +309,28 @@
 	from, to := g.began.Add(hit), g.began.Add(hit+cut)
 	is.Equal(first.within(from, to)+second.within(from, to), 0)
 }
+
+// Guards against a few VMs that are left, take the loss of most others for a cut, and leave their endpoints idle.
+func TestFewVMsThatAreLeftServeSoon(t *testing.T) {
+	const left, soon = 2, 5 * time.Second // of two failure domains
+	for seed := range uint64(plays) {
+		is := is.New(t)
+		idle := 0
+		set := few(func(g *Grid) {
+			for n := left; n < g.VMs; n++ {
+				g.Kill(g.VM(n))
+			}
+			time.Sleep(2 * soon)
+			for n := range g.Domains {
+				if g.Owner(domainName(n)) == nil {
+					idle++
+				}
+			}
+		})
+		set.Seed = seed + 1
+		g := play(t, set)
+		steps(t, g, hit, 5)
+		is.True(g.Counts(every, hit+soon, hit+2*soon).Share() >= 0.95)
+		is.Equal(idle, 0)
+	}
+}
