A VM that hears fewer VMs than it misses asks through the store

Callers see: two VMs of eight, of two failure domains, hear each other and nobody else for 8 s, and reach store and endpoints: 43 of 876 jobs fail and 119 to 122 are refused. Cause: a VM asked only when it heard nobody. Each of these two heard the other, took six for lost, and they claimed 42 groups of living owners. Change: a VM asks wide while it misses more VMs than it hears and no machine refuses its dials; answers of VMs that it hears don't count. While one that it doesn't hear answers, it claims nothing of other domains.

--- a/internal/edge/serve/probe.go
+++ b/internal/edge/serve/probe.go
@@ -96,30 +96,38 @@
 
 // rest is the pause after the next probe. It stays short while nobody answers and this VM may be the last one.
 func (p *prober) rest(h hearing) time.Duration {
-	if h.isCut() && p.result == noneAnswered && p.misses < lastAfter {
+	if h.heard == 0 && h.isCut() && p.result == noneAnswered && p.misses < lastAfter {
 		return probeEvery
 	}
 	return min(max(probeEvery, 2*p.pause), probeRest)
 }
 
 // hearing is whom a VM hears. A machine that refuses a dial is reached, so this VM is not cut off.
-type hearing struct{ any, near, refused bool }
+type hearing struct {
+	heard, missed int  // VMs
+	near          bool // one of the own failure domain is heard
+	refused       bool
+}
 
 func (d *Node) hearing() (h hearing) {
 	for _, m := range d.view.Members() {
-		if m.State == view.Alive {
-			h.any, h.near = true, h.near || m.Domain == d.cfg.Domain
+		switch {
+		case m.State == view.Alive:
+			h.heard++
+			h.near = h.near || m.Domain == d.cfg.Domain
+		case m.State == view.Suspect, m.State == view.Gone, m.State == view.Listed && d.parts.Mesh.Absent(m.VM):
+			h.missed++
 		}
 	}
-	h.refused = !h.any && slices.ContainsFunc(d.view.Members(), func(m *view.Member) bool { return d.parts.Mesh.Refused(m.VM) })
+	h.refused = h.missed > h.heard && slices.ContainsFunc(d.view.Members(), func(m *view.Member) bool { return d.parts.Mesh.Refused(m.VM) })
 	return h
 }
 
-// isCut reports whether this VM may be cut off from all others.
-func (h hearing) isCut() bool { return !h.any && !h.refused }
+// isCut reports whether this VM may be cut off from the others: it hears nobody, or fewer than it misses.
+func (h hearing) isCut() bool { return h.missed > h.heard && !h.refused }
 
 // isUnheard reports whether a VM may live though it is not heard, and nobody who is heard can tell. VMs of other
-// failure domains matter to one that may be cut off from all.
+// failure domains matter to one that may be cut off.
 func (d *Node) isUnheard(now time.Time, m *view.Member, h hearing) bool {
 	if m.Domain != d.cfg.Domain && !h.isCut() {
 		return false
@@ -127,14 +135,19 @@
 	switch m.State {
 	case view.Listed:
 		settles := now.Sub(d.began) < joinFor || d.prober.result == ownerAnswered
-		return !h.near && (!h.any || settles) && d.parts.Mesh.Absent(m.VM) && !d.parts.Mesh.Refused(m.VM)
+		return !h.near && (h.heard == 0 || settles) && d.parts.Mesh.Absent(m.VM) && !d.parts.Mesh.Refused(m.VM)
 	case view.Suspect, view.Gone:
-		return !h.any
+		return h.heard == 0 || h.isCut()
 	default:
 		return false
 	}
 }
 
+// hears reports whether a VM is heard.
+func (d *Node) hears(vm netip.AddrPort) bool {
+	return slices.ContainsFunc(d.view.Members(), func(m *view.Member) bool { return m.VM == vm && m.State == view.Alive })
+}
+
 // lookUnheard asks through the store for VMs that are not heard, and tells the claims what is known of
 // them; the caller holds the lock.
 //
@@ -154,14 +167,16 @@
 	case now.Sub(p.at) >= probeKeeps:
 		p.result, p.misses = presenceUnknown, 0
 	}
-	d.claims.CutOff(!h.any && p.result >= farAnswered)
+	d.claims.CutOff((h.heard == 0 || h.isCut()) && p.result >= farAnswered)
 	d.claims.Defer(p.result == ownerAnswered)
 	d.claims.Succeed(p.result.lacksNear())
 	d.claims.SucceedAll(d.isLast(h))
 }
 
 // isLast reports whether surely no other VM is there; the caller holds the lock.
-func (d *Node) isLast(h hearing) bool { return h.isCut() && d.prober.misses >= lastAfter }
+func (d *Node) isLast(h hearing) bool {
+	return h.heard == 0 && h.isCut() && d.prober.misses >= lastAfter
+}
 
 // askPresence probes once and takes in the result; wide asks VMs of other failure domains too.
 func (d *Node) askPresence(wide bool) {
@@ -211,7 +226,7 @@
 		from = b.Next
 		for _, u := range b.All {
 			a := u.Value
-			if a.To != q.From || a.Call != q.Call {
+			if a.To != q.From || a.Call != q.Call || d.hears(a.From) {
 				continue
 			}
 			if r := a.shows(); r > result {
