Probes: asking and answering in files of their own

Change: answer.go has the side that answers, with its limits; the count of wide probes without an answer is named so. Nothing else. Measured: tests of the package and linter pass.

--- a/internal/edge/serve/probe.go
+++ b/internal/edge/serve/probe.go
@@ -2,15 +2,12 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
-	"sync"
 	"time"
 
-	"dahliawinch/internal/mesh/claim"
 	"dahliawinch/internal/mesh/view"
 	"dahliawinch/internal/plat/feed"
 )
@@ -47,23 +44,12 @@
 	probeRest  = 8 * time.Second
 	// probeKeeps is for how long a result counts while the store answers no further probe.
 	probeKeeps = 30 * time.Second
-	// probeReaders is how many VMs of a failure domain wait for probes: two, since one may be the VM that asks.
-	probeReaders = 2
-	// probeWait is how long one read waits for a probe, and probeLook how often a VM looks whether it is
-	// among those who read.
-	probeWait = 10 * time.Second
-	probeLook = 500 * time.Millisecond
-	// farDelay bounds the random pause before a VM of another failure domain answers. One answer is enough, so the
-	// others stay silent once they have read it.
-	farDelay = 100 * time.Millisecond
 	// lastAfter is how many wide probes in a row nobody may answer until this VM is the last one: all others must
 	// have missed both.
 	lastAfter = 2
 	// othersStart is the age from which a VM takes a wide probe without an answer for one: before, others that were
 	// started with it, up to a second later, don't answer yet.
 	othersStart = joinFor + time.Second
-	// answeredMost is how many probes are remembered as answered.
-	answeredMost = 1024
 )
 
 // presence is what a VM knows through the store of VMs that it doesn't hear.
@@ -86,17 +72,17 @@
 
 // prober holds the result of the last probe; the node's lock guards it.
 type prober struct {
-	asking bool
-	next   time.Time     // when to ask again
-	pause  time.Duration // the last one before that
-	result presence
-	at     time.Time // when the result came
-	misses int       // wide probes in a row that nobody answered
+	asking     bool
+	next       time.Time     // when to ask again
+	pause      time.Duration // the last one before that
+	result     presence
+	at         time.Time // when the result came
+	unanswered int       // wide probes in a row
 }
 
 // rest is the pause after the next probe. It stays short while nobody answers and this VM may be the last one.
 func (p *prober) rest(h hearing) time.Duration {
-	if h.heard == 0 && h.isCut() && p.result == noneAnswered && p.misses < lastAfter {
+	if h.heard == 0 && h.isCut() && p.result == noneAnswered && p.unanswered < lastAfter {
 		return probeEvery
 	}
 	return min(max(probeEvery, 2*p.pause), probeRest)
@@ -165,7 +151,7 @@
 		p.pause = p.rest(h)
 		d.wg.Go(func() { d.askPresence(h.isCut()) })
 	case now.Sub(p.at) >= probeKeeps:
-		p.result, p.misses = presenceUnknown, 0
+		p.result, p.unanswered = presenceUnknown, 0
 	}
 	d.claims.CutOff((h.heard == 0 || h.isCut()) && p.result >= farAnswered)
 	d.claims.Defer(p.result == ownerAnswered)
@@ -175,7 +161,7 @@
 
 // isLast reports whether surely no other VM is there; the caller holds the lock.
 func (d *Node) isLast(h hearing) bool {
-	return h.heard == 0 && h.isCut() && d.prober.misses >= lastAfter
+	return h.heard == 0 && h.isCut() && d.prober.unanswered >= lastAfter
 }
 
 // askPresence probes once and takes in the result; wide asks VMs of other failure domains too.
@@ -198,9 +184,9 @@
 	p.result, p.at = result, now
 	switch {
 	case !wide || result != noneAnswered:
-		p.misses = 0
+		p.unanswered = 0
 	case began.Sub(d.began) >= othersStart:
-		p.misses++
+		p.unanswered++
 	}
 }
 
@@ -251,93 +237,3 @@
 		return neighbourAnswered
 	}
 }
-
-// answerProbes answers what VMs ask through the store, while this VM is one of the readers of its failure domain.
-func (d *Node) answerProbes() {
-	from, known := int64(0), false
-	for d.ctx.Err() == nil {
-		if d.now().Sub(d.began) < joinFor || d.place() >= probeReaders {
-			known = false
-			pause(d.ctx, probeLook)
-			continue
-		}
-		next, err := d.readProbes(from, known)
-		from, known = next, err == nil
-		switch {
-		case err == nil || d.ctx.Err() != nil:
-		case errors.Is(err, feed.ErrGone):
-			d.log.Info("store history gone", "feed", "presence", "from", from)
-		default:
-			d.log.Info("probes not read", "err", err)
-			pause(d.ctx, probeLook)
-		}
-	}
-}
-
-// readProbes waits for probes once and answers them; it returns where to read on.
-func (d *Node) readProbes(from int64, known bool) (next int64, err error) {
-	if !known {
-		if _, from, err = d.parts.Presence.Newest(d.ctx); err != nil {
-			return from, fmt.Errorf("find the end of the probes: %w", err)
-		}
-	}
-	b, err := d.parts.Presence.Next(d.ctx, from, feed.Ask{Wait: probeWait})
-	if err != nil {
-		return from, fmt.Errorf("read probes: %w", err)
-	}
-	for _, u := range b.All {
-		switch p := u.Value; {
-		case u.Err != nil || u.Gone || p.From == d.cfg.VM:
-		case p.To.IsValid():
-			d.answered.add(p.Call)
-		case p.Domain == d.cfg.Domain || p.Wide:
-			d.wg.Go(func() { d.answerProbe(p) })
-		}
-	}
-	return b.Next, nil
-}
-
-// answerProbe answers a question, if this VM's answer may tell more than those that are there.
-func (d *Node) answerProbe(q Probe) {
-	a := Probe{Domain: q.Domain, From: d.cfg.VM, To: q.From, Call: q.Call, Far: q.Domain != d.cfg.Domain, Owns: d.ownsIn(q.Domain)}
-	if a.Far && !a.Owns {
-		pause(d.ctx, rand.N(farDelay))
-		if d.answered.has(q.Call) {
-			return
-		}
-	}
-	ctx, cancel := context.WithTimeout(d.ctx, probeMost)
-	defer cancel()
-	err := d.parts.Presence.Post(ctx, a)
-	d.log.Info("probe answered", "from", q.From, "call", q.Call, "domain", q.Domain, "owns", a.Owns, "err", err)
-}
-
-// ownsIn reports whether this VM owns endpoints of a failure domain and keeps them.
-func (d *Node) ownsIn(domain string) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return slices.ContainsFunc(d.claims.Groups(), func(g claim.Group) bool {
-		return g.Domain == domain && !d.claims.Owns(g).Giving
-	})
-}
-
-// answered are the numbers of probes that were answered lately.
-type answered struct {
-	mu    sync.Mutex
-	calls map[uint64]bool
-}
-
-func (a *answered) add(call uint64) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.calls == nil || len(a.calls) == answeredMost {
-		a.calls = map[uint64]bool{}
-	}
-	a.calls[call] = true
-}
-
-func (a *answered) has(call uint64) bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.calls[call]
-}
