--- a/internal/tool/grid/alone_test.go
+++ b/internal/tool/grid/alone_test.go
@@ -199,7 +199,7 @@
 // Guards against a VM that is restarted while its failure domain is cut off from the other domains, hears through the
 // store that these live, and leaves its own endpoints idle.
 func TestOnlyVMOfADomainThatIsCutOffServesIt(t *testing.T) {
-	const vm, down, cut = 1, 2 * time.Second, 14 * time.Second
+	const vm, down, cut = 1, 2 * time.Second, 6 * time.Second
 	for seed := range uint64(plays) {
 		is := is.New(t)
 		set := faulty(func(g *Grid) {
