A job that is submitted again at another VM goes on at the owner that has it

Callers saw: a task ran twice at once, for up to 0.7 s, when the end of a caller's connection reached its VM 2 s after the caller had left.

Cause: two VMs speak for one caller, and neither knows of the other. The VM that the caller left sees an open connection and goes on sending keepalives; the VM at which the caller comes back knows nothing of the job and gives it to any owner. Only at one VM was a job found by its id.

Change: a job can be submitted again `resend` after it was submitted at the earliest. Owners list their jobs in their heartbeats from 0.65 s before that on, as hashes of ids, until the last run is over. A VM hands a submission of a listed job to that owner; an owner refuses a listed job ("may still run") from a VM that does not hear the other owner. The owner lets the runs go on for the new call and ends the old one, so the callers get their answer without a second start. If the owner was restarted, is silent or does not hear this VM, the caller is told at once to come back.

Why it works: the job has one owner again, whoever speaks for the caller, and the owner alone knows what runs. It needs no news from the caller, delays no fresh job and ends no job whose caller stays. An unknown field in a heartbeat or a RunJob is skipped by VMs of the older build.

Not covered: VMs that can't hear each other while both reach owners.

--- a/internal/edge/serve/beat.go
+++ b/internal/edge/serve/beat.go
@@ -132,6 +132,7 @@
 	for _, c := range d.scheduler.Cleared(now) {
 		b.Cleared = append(b.Cleared, frame.Cleared(c))
 	}
+	b.Jobs = d.advertised(now)
 	if d.loadInBeat() {
 		l := d.loadFrame(d.load(now))
 		l.Next = view.RemoteFactor * view.Period
@@ -146,6 +147,7 @@
 	defer d.mu.Unlock()
 	d.keepLocalJobs(now)
 	d.dropSilent(now)
+	d.endUnreachable()
 	if now.Sub(d.began) < joinWindow {
 		d.updateClaims(now) // more often than heartbeats: until the first claim all jobs wait
 	}
@@ -228,6 +230,11 @@
 		d.deliverAnswer(&owner.Reply{Key: key, Answer: *job.Refuse(job.Silent, 0, "it came %s after it was sent", age)})
 		return
 	}
+	if vm, ok := d.runsElsewhere(now, m); ok {
+		d.log.Info("job runs elsewhere", "job", m.Job.ID, "by", from.VM, "owner", vm)
+		d.deliverAnswer(&owner.Reply{Key: key, Answer: d.mayStillRun(vm)})
+		return
+	}
 	d.scheduler.Submit(now, key, &m.Job)
 	d.perform()
 }
--- a/internal/edge/serve/submit.go
+++ b/internal/edge/serve/submit.go
@@ -71,8 +71,8 @@
 	now = d.lock()
 	d.noteWait(c)
 	if old := d.byID[j.ID]; old != nil {
-		c.formerOwner = old.owner
-		d.cancelCall(old, job.Answer{Outcome: job.Unknown, Reason: job.StillRuns, Detail: "the same job was submitted again"})
+		c.formerOwner = old.owner // which learns that the earlier call is over when it gets this one
+		d.finishCall(old, job.Answer{Outcome: job.Unknown, Reason: job.StillRuns, Detail: "the same job was submitted again"})
 	}
 	d.calls[c.n], d.byID[j.ID] = c, c
 	if c.formerOwner.IsValid() {
@@ -152,6 +152,9 @@
 		d.finishCall(c, callerLeft)
 		return
 	}
+	if len(c.tried) == 0 && d.assignRunning(now, c) {
+		return
+	}
 	for len(c.tried) < route.MaxTries {
 		vm := d.routes.Pick(now, c.job.Rank, c.cores, c.tried, d.pace.MeanTime())
 		if !vm.IsValid() {
@@ -183,23 +186,9 @@
 	d.finishCall(c, a)
 }
 
-// assignFormer gives a call to the owner of an earlier call of the same job, which alone knows whether its runs
-// continue; the caller holds the lock.
-func (d *Node) assignFormer(now time.Time, c *call) {
-	if err := d.assignTo(now, c.formerOwner, c); err != nil {
-		d.log.Info("former owner unreachable", "job", c.job.ID, "owner", c.formerOwner, "err", err)
-		d.finishCall(c, d.mayStillRun(c))
-	}
-}
-
-// mayStillRun returns the answer to a call whose job may still run for an earlier call. It is not a refusal, which would
-// say that the job never runs.
-func (d *Node) mayStillRun(c *call) job.Answer {
-	return job.Answer{Outcome: job.Unknown, Reason: job.StillRuns, Retry: jitter(d.cfg.Limits.Outlive()), Detail: fmt.Sprintf("the same job may still run at %s", c.formerOwner)}
-}
-
 // assignTo gives a call to an owner; the caller holds the lock.
 func (d *Node) assignTo(now time.Time, vm netip.AddrPort, c *call) error {
+	tried := slices.Clone(c.tried)
 	c.tried = append(c.tried, vm)
 	c.owner = vm
 	j := *c.job // the call keeps the job as it arrived
@@ -208,7 +197,7 @@
 		d.scheduler.Submit(now, owner.Key{VM: vm, Inc: d.cfg.Inc, Call: c.n}, &j)
 		return nil
 	}
-	if err := d.handOver(now, vm, c, &j); err != nil {
+	if err := d.handOver(now, vm, c, &frame.RunJob{Job: j, Tried: tried}); err != nil {
 		return fmt.Errorf("assign to owner: %w", err)
 	}
 	d.routes.RecordSent(vm, c.cores)
@@ -219,13 +208,13 @@
 var errUnheard = errors.New("no heartbeat received yet")
 
 // handOver sends a job to another owner; the caller holds the lock.
-func (d *Node) handOver(now time.Time, vm netip.AddrPort, c *call, j *batch.Job) error {
+func (d *Node) handOver(now time.Time, vm netip.AddrPort, c *call, m *frame.RunJob) error {
 	p := d.heardMember(vm)
 	if p == nil {
 		return fmt.Errorf("hand over to %s: %w", vm, errUnheard)
 	}
-	j.AskedAt, c.handedAt = p.Theirs(now), now
-	if err := d.deps.Mesh.Send(vm, &frame.RunJob{To: p.Inc, Call: c.n, Job: *j}); err != nil {
+	m.To, m.Call, m.Job.AskedAt, c.handedAt = p.Inc, c.n, p.Theirs(now), now
+	if err := d.deps.Mesh.Send(vm, m); err != nil {
 		return fmt.Errorf("hand over: %w", err)
 	}
 	return nil
@@ -269,7 +258,7 @@
 	}
 	if a.Outcome == job.Refused && retryable(a.Reason) {
 		if c.formerOwner == from && a.Reason == job.Silent { // it did not check what still runs
-			d.finishCall(c, d.mayStillRun(c))
+			d.finishCall(c, d.mayStillRun(c.formerOwner))
 			return
 		}
 		c.answer, c.formerOwner = a, netip.AddrPort{}
@@ -327,9 +316,14 @@
 // end, so the callers must not learn that the jobs did not run.
 func (d *Node) loseOwner(vm netip.AddrPort, why string) {
 	for _, c := range d.calls {
-		if c.owner == vm && !c.ended {
-			d.cancelCall(c, job.Answer{Outcome: job.Unknown, Reason: job.Silent, Detail: why})
+		if c.owner != vm || c.ended {
+			continue
+		}
+		a := job.Answer{Outcome: job.Unknown, Reason: job.Silent, Detail: why}
+		if c.formerOwner == vm {
+			a = d.mayStillRun(vm)
 		}
+		d.cancelCall(c, a)
 	}
 }
 
--- a/internal/mesh/frame/msg.go
+++ b/internal/mesh/frame/msg.go
@@ -85,6 +85,8 @@
 	Losses []Loss `msgpack:"m,omitempty"`
 	// Cleared are endpoints that the sender now owns and that run nothing for former owners.
 	Cleared []Cleared `msgpack:"e,omitempty"`
+	// Jobs are hashes of the IDs of the sender's jobs that callers who left may submit again by now, at any VM.
+	Jobs []uint64 `msgpack:"j,omitempty"`
 	// Load is the sender's load, if it is not sent in messages of its own.
 	Load *Load `msgpack:"y,omitempty"`
 }
@@ -223,6 +225,8 @@
 	To   uint64    `msgpack:"t"` // the receiver's incarnation; Job.Asked is a time of its clock
 	Call uint64    `msgpack:"c"`
 	Job  batch.Job `msgpack:"j"`
+	// Tried are the owners that had the job before and do not run it.
+	Tried []netip.AddrPort `msgpack:"r,omitempty"`
 }
 
 // Keepalive lists the RunJob calls that the sender still waits for. The receiver ends a job
--- a/internal/mesh/view/member.go
+++ b/internal/mesh/view/member.go
@@ -36,6 +36,9 @@
 	Beat   frame.Heartbeat
 	Late   time.Duration // delay of the last heartbeat compared to the fastest
 	Skew   time.Duration // smallest difference seen of this clock minus the member's
+	// formerJobs are the jobs that the previous incarnation advertised when it was last heard at formerHeard.
+	formerJobs  []uint64
+	formerHeard time.Time
 }
 
 // Usable reports whether work may be sent to the member.
--- a/internal/mesh/view/strain.go
+++ b/internal/mesh/view/strain.go
@@ -83,6 +83,9 @@
 	return delay
 }
 
+// Reported returns how late another VM's messages reach the member, as its last heartbeat says.
+func (m *Member) Reported(vm netip.AddrPort) time.Duration { return reportedDelay(&m.Beat, vm) }
+
 // median returns the largest value that at least half of all values reach.
 func median(all []time.Duration) time.Duration {
 	slices.Sort(all)
--- a/internal/mesh/view/view.go
+++ b/internal/mesh/view/view.go
@@ -180,6 +180,9 @@
 	m.Skew = now.Sub(b.At)
 	if was.Inc == m.Inc {
 		m.Skew = min(m.Skew, was.Skew+maxDrift(now.Sub(was.Heard)))
+		m.formerJobs, m.formerHeard = was.formerJobs, was.formerHeard
+	} else {
+		m.formerJobs, m.formerHeard = was.Beat.Jobs, was.Heard
 	}
 	m.Late = m.Age(now, b.At)
 	if b.Leaving {
--- a/internal/task/batch/batch.go
+++ b/internal/task/batch/batch.go
@@ -5,9 +5,13 @@
 import (
 	"errors"
 	"fmt"
+	"reflect"
+	"slices"
 	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"dahliawinch/internal/task/job"
 )
 
@@ -38,6 +42,20 @@
 	Steps   []Step    `msgpack:"t"`
 }
 
+// HashID returns the hash by which VMs name a job to each other in heartbeats.
+func HashID(id string) uint64 { return xxhash.Sum64String(id) }
+
+// SameWork reports whether two submissions ask for the same tasks.
+func (j *Job) SameWork(o *Job) bool {
+	return j.Spec == o.Spec && slices.EqualFunc(j.Steps, o.Steps, sameStep)
+}
+
+func sameStep(a, b Step) bool {
+	sameAfter := slices.Equal(a.After, b.After) // an empty list equals a missing one
+	a.After, b.After = nil, nil
+	return sameAfter && reflect.DeepEqual(a, b)
+}
+
 // Step is a group of identical tasks that may start once the steps in After are done.
 type Step struct {
 	Count    int           `msgpack:"c"`
--- a/internal/task/owner/job.go
+++ b/internal/task/owner/job.go
@@ -57,11 +57,16 @@
 	runNums     []int       // highest run number of each task
 }
 
-func newEntry(now time.Time, key Key, j *batch.Job, work time.Duration, limits lease.Limits) *entry {
-	keepalive := j.AskedAt
-	if keepalive.IsZero() || keepalive.After(now) {
-		keepalive = now
+// lastAsked returns when the caller's VM asked for a job that it submits now, by this VM's clock.
+func lastAsked(now time.Time, j *batch.Job) time.Time {
+	if j.AskedAt.IsZero() || j.AskedAt.After(now) {
+		return now
 	}
+	return j.AskedAt
+}
+
+func newEntry(now time.Time, key Key, j *batch.Job, work time.Duration, limits lease.Limits) *entry {
+	keepalive := lastAsked(now, j)
 	arrived := keepalive.Add(-j.Age)
 	e := &entry{
 		Job: j, key: key, arrived: arrived, deadline: keepalive.Add(j.TimeLeft), keepalive: keepalive, limits: limits, steps: make([]step, len(j.Steps)), stepsLeft: len(j.Steps),
--- a/internal/task/owner/submit.go
+++ b/internal/task/owner/submit.go
@@ -13,6 +13,10 @@
 // work that can't be done in time would delay work that can.
 func (sc *Scheduler) Submit(now time.Time, key Key, j *batch.Job) {
 	if old := sc.byID[j.ID]; old != nil {
+		if old.canResume(j) {
+			sc.resume(now, old, key, j)
+			return
+		}
 		if !old.answered {
 			sc.finish(now, old, job.Answer{Outcome: job.Unknown, Reason: job.StillRuns, Detail: "the same job was submitted again"})
 		}
