Jobs of VMs that some VM can't hear are passed on by two that hear both

Cause: a VM learns from the heartbeats of a job's owner that the owner has it. Two domains that are cut from each other exchange none, while both may reach VMs and endpoints of a third.

Change: a VM passes on, in its heartbeats, the jobs that a VM advertises of which another says that it comes late, is silent or is of a failure domain that it hears nothing of any more (`Unheard`; doubts of a member end after 9 s). Two VMs do so, by rendezvous hashing of those that hear it. A VM that learns of its job so asks the relay, which answers "may still run" at once with a time to come back. What an owner says itself goes first.

Why it works: the relay hears the owner within half a second, so it says nothing of an owner that is gone, and forgets the job with the owner's next heartbeat. Without cuts nothing is added to a heartbeat.

--- a/internal/edge/serve/beat.go
+++ b/internal/edge/serve/beat.go
@@ -132,7 +132,7 @@
 	for _, c := range d.scheduler.Cleared(now) {
 		b.Cleared = append(b.Cleared, frame.Cleared(c))
 	}
-	b.Jobs = d.advertised(now)
+	b.Jobs, b.Relayed, b.Unheard = d.advertised(now), d.view.RelayedJobs(now), d.view.Unheard()
 	if d.loadInBeat() {
 		l := d.loadFrame(d.load(now))
 		l.Next = view.RemoteFactor * view.Period
--- a/internal/mesh/frame/msg.go
+++ b/internal/mesh/frame/msg.go
@@ -87,6 +87,10 @@
 	Cleared []Cleared `msgpack:"e,omitempty"`
 	// Jobs are hashes of the IDs of the sender's jobs that callers who left may submit again by now, at any VM.
 	Jobs []uint64 `msgpack:"j,omitempty"`
+	// Relayed are the Jobs of other VMs that some VM does not hear.
+	Relayed []uint64 `msgpack:"v,omitempty"`
+	// Unheard are the failure domains of which the sender has heard VMs, but hears none any more.
+	Unheard []string `msgpack:"h,omitempty"`
 	// Load is the sender's load, if it is not sent in messages of its own.
 	Load *Load `msgpack:"y,omitempty"`
 }
--- a/internal/tool/grid/resubmit_test.go
+++ b/internal/tool/grid/resubmit_test.go
@@ -31,7 +31,8 @@
 type departure struct {
 	first, second int           // the two VMs
 	stays         time.Duration // time until a caller leaves
-	fault         func(*Grid)   // strikes with the first submission; may be nil
+	fault         func(*Grid)   // may be nil
+	wait          time.Duration // from the fault to the first submission
 	linkRate      int
 
 	mu      sync.Mutex
@@ -50,7 +51,7 @@
 			g.wg.Add(1)
 			go func() {
 				defer g.wg.Done()
-				time.Sleep(time.Duration(i) * departingEvery)
+				time.Sleep(p.wait + time.Duration(i)*departingEvery)
 				p.leaveAndReturn(g, g.longSubmission(i, departingWork))
 			}()
 		}
@@ -59,6 +60,7 @@
 		}
 	})
 	set.LinkRate = p.linkRate
+	set.Span += p.wait
 	simulate(t, set)
 }
 
@@ -86,6 +88,17 @@
 	return n
 }
 
+// checkAnswered checks that each second submission was served or told in time when to come back.
+func (p *departure) checkAnswered(t *testing.T) {
+	t.Helper()
+	is.New(t).Equal(len(p.answers), departing)
+	for _, a := range p.answers {
+		if a.Outcome != job.Done && (a.took > answerWithin || a.Retry == 0) {
+			t.Errorf("answered after %s: %+v", a.took, a.Answer)
+		}
+	}
+}
+
 // longSubmission returns the n-th submission of a job with one task.
 func (g *Grid) longSubmission(n int, work time.Duration) serve.Submission {
 	j, _, _ := g.drawJob(rand.New(rand.NewPCG(uint64(n), 1)), plain, 1_000_000+n)
@@ -132,18 +145,37 @@
 		"second is unheard":     {first: 0, second: 5, stays: stays, fault: func(g *Grid) { g.Cut("fd-b", "fd-a", true) }},
 	} {
 		t.Run(name, func(t *testing.T) {
-			is := is.New(t)
 			p.play(t)
-			is.Equal(len(p.answers), departing)
-			for _, a := range p.answers {
-				if a.Outcome != job.Done && (a.took > answerWithin || a.Retry == 0) {
-					t.Errorf("answered after %s: %+v", a.took, a.Answer)
-				}
-			}
+			p.checkAnswered(t)
+		})
+	}
+}
+
+// Guards against a second start of a job that is submitted again at a VM that can't hear the job's owner.
+func TestResubmissionAcrossACutRunsOnce(t *testing.T) {
+	oneWay := func(g *Grid) { g.Cut("fd-a", "fd-b", true) }
+	bothWays := func(g *Grid) { oneWay(g); g.Cut("fd-b", "fd-a", true) }
+	for name, p := range map[string]*departure{
+		"cut one way":     {fault: oneWay},
+		"cut":             {fault: bothWays},
+		"cut for long":    {fault: bothWays, wait: 12 * time.Second},
+		"one way, longer": {fault: oneWay, wait: 12 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p.first, p.second, p.stays = 0, 5, 400*time.Millisecond
+			p.play(t)
+			p.checkAnswered(t)
 		})
 	}
 }
 
+// Guards against a second start of a job that is submitted again outside the failure domain that runs it, while that
+// domain is cut off from all others.
+func TestResubmissionOutsideACutOffDomainRunsOnce(t *testing.T) {
+	p := departure{first: 0, second: 5, stays: 400 * time.Millisecond, fault: func(g *Grid) { g.Isolate("fd-a", true) }}
+	p.play(t)
+}
+
 // Guards against ending a long job whose caller stays because some VM can't be told of it.
 func TestLongJobOfStayingCallerGoesOn(t *testing.T) {
 	for name, fault := range map[string]func(*Grid){
