Fakes: an endpoint starts no timer that is due at once

Cause: in a synctest bubble the runtime runs a timer that is due at once on the creator's thread, and the race detector does not bear that. Evidence: a program of 20 lines outside the project, 500 goroutines in a bubble that call time.AfterFunc, go test -race: with durations of zero or less it ends in the same SIGSEGV or a failed check of ThreadSanitizer within seconds, 3 of 3; with positive ones it passes, 3 of 3.

Change: the timer is set for 1 ms at least. The lease is over by then either way, since its end is kept beside the timer.

--- a/internal/plat/fakes/leased.go
+++ b/internal/plat/fakes/leased.go
@@ -287,7 +287,8 @@
 	if at := time.Now().Add(left); at.After(e.until) {
 		e.until = at
 	}
-	time.AfterFunc(time.Until(e.until)+time.Millisecond, e.expireLease)
+	// A timer that is due at once may crash a synctest bubble under the race detector.
+	time.AfterFunc(max(0, time.Until(e.until))+time.Millisecond, e.expireLease)
 }
 
 func (e *Leased) expireLease() {
