Serve: settings that switch on parts for hard load

The parts that follow (endpoint speeds, jobs split across owners, a shared view of demand, filling endpoints, guaranteed shares) take effect only where the settings ask for them. This adds the settings with their checks, passes them to the scheduler, and gives the grid endpoints of different speeds and tasks that run long. Nothing uses them yet. docs/design/hardload.md describes all parts.

Tests: internal/edge/serve (settings and options), internal/task/... pass.

--- a/internal/edge/serve/daemon.go
+++ b/internal/edge/serve/daemon.go
@@ -54,7 +54,7 @@
 		return nil, fmt.Errorf("new daemon: %w", err)
 	}
 	cfg := Config{
-		VM: set.Mesh, Domain: set.Domain, Inc: uint64(time.Now().UnixNano()), Seeds: seeds, RemoteFactor: set.RemoteFactor, Cores: set.Cores, LinkRate: set.linkBytes(),
+		VM: set.Mesh, Domain: set.Domain, Inc: uint64(time.Now().UnixNano()), Seeds: seeds, RemoteFactor: set.RemoteFactor, Cores: set.Cores, LinkRate: set.linkBytes(), Options: set.Options,
 		Limits: lease.Limits{Hold: set.Hold.Std(), Stop: set.Stop.Std(), Resend: set.Resend.Std(), Notice: hangup.CloseDelay},
 	}
 	hello := frame.Hello{VM: cfg.VM, Inc: cfg.Inc, Domain: cfg.Domain}
@@ -114,7 +114,8 @@
 	}
 	d.node.Start()
 	d.log.Info("serving", "name", d.settings.Name, "vm", d.settings.Mesh, "domain", d.settings.Domain, "inc", d.node.cfg.Inc, "callers", d.settings.Caller, "store", d.settings.Store,
-		"resend", d.settings.Resend.Std(), "outlive", d.node.cfg.Limits.Outlive(), "expiry", d.node.cfg.Limits.Expiry(), "fresh", d.node.cfg.Limits.Fresh(), "lease", d.node.cfg.Limits.Lease())
+		"resend", d.settings.Resend.Std(), "outlive", d.node.cfg.Limits.Outlive(), "expiry", d.node.cfg.Limits.Expiry(), "fresh", d.node.cfg.Limits.Fresh(), "lease", d.node.cfg.Limits.Lease(),
+		"speeds", d.settings.Speeds, "split", d.settings.Split, "demand", d.settings.Demand, "fill", d.settings.Fill, "shares", d.settings.Shares)
 	g.Go(func() error {
 		select {
 		case <-leave.Done():
--- a/internal/edge/serve/node.go
+++ b/internal/edge/serve/node.go
@@ -45,6 +45,7 @@
 	RemoteFactor float64 // how many times longer a task runs outside its data's failure domain
 	Cores        float64 // cores that this VM may use
 	LinkRate     float64 // bytes a second that its link carries; 0 if unknown
+	Options      Options
 }
 
 // Mesh carries messages to other entry VMs. Messages to one incarnation arrive once and in order, or that incarnation
@@ -148,7 +149,8 @@
 		pace: pace.New(minOrderWait, maxOrderWait), hasUnowned: true,
 		view: view.New(cfg.VM, cfg.Domain, now), claims: claim.New(cfg.VM, cfg.Domain, cfg.Cores, now),
 	}
-	d.scheduler = owner.New(owner.Config{Limits: cfg.Limits, RemoteFactor: cfg.RemoteFactor, VerdictDelay: lossReportDelay, Log: deps.Log, OrderDelay: d.pace.Expect, Outlived: deps.Meter.ObserveOutlived})
+	d.scheduler = owner.New(owner.Config{Limits: cfg.Limits, RemoteFactor: cfg.RemoteFactor, VerdictDelay: lossReportDelay, Log: deps.Log, OrderDelay: d.pace.Expect, Outlived: deps.Meter.ObserveOutlived,
+		Speeds: cfg.Options.Speeds, Fill: cfg.Options.Fill, Shares: cfg.Options.rankShares()})
 	d.ctx, d.cancel = context.WithCancel(ctx)
 	d.view.Links(remoteLinks)
 	d.initRelays()
--- a/internal/edge/serve/settings.go
+++ b/internal/edge/serve/settings.go
@@ -35,6 +35,7 @@
 	Grace        valid.Span `json:"grace"`           // from the signal to leave until the end
 	RemoteFactor float64    `json:"far"`             // how many times longer a task runs outside its data's failure domain
 	Level        string     `json:"level"`
+	Options
 }
 
 // Defaults returns the values of settings that a file may leave out.
@@ -81,6 +82,7 @@
 	require(s.Stop.Std() <= s.Resend.Std()/lease.StopsPerResend, "stop", s.Stop.Std(), "use at most a fifth of resend, "+(s.Resend.Std()/lease.StopsPerResend).String())
 	require(s.Grace.Std() > 0 && s.Grace.Std() <= time.Hour, "grace", s.Grace.Std(), "use 1s to 1h")
 	require(s.RemoteFactor >= 1, "far", s.RemoteFactor, "use 1 or more")
+	s.checkShares(require)
 	_, err := s.seedPeers()
 	require(err == nil, "seeds", s.Seeds, "separate addresses with commas")
 	require(levels[s.Level] != nil, "level", s.Level, "use debug, info, warn or error")
--- a/internal/edge/serve/settings_test.go
+++ b/internal/edge/serve/settings_test.go
@@ -31,6 +31,15 @@
 	is.NoErr(err)
 	is.Equal(len(peers), 1) // without the VM itself
 	is.Equal(peers[0].String(), "10.1.0.2:7720")
+	is.Equal(s.Options, Options{}) // nothing is on unless the file asks for it
+}
+
+func TestOptionsAreRead(t *testing.T) {
+	is := is.New(t)
+	s, err := read(t, strings.Replace(good, `"name"`, `"speeds":true,"split":true,"demand":true,"fill":true,"shares":{"2":0.4},"name"`, 1))
+	is.NoErr(err)
+	is.Equal(s.Options, Options{Speeds: true, Split: true, Demand: true, Fill: true, Shares: map[string]float64{"2": 0.4}})
+	is.Equal(s.rankShares(), map[int]float64{2: 0.4})
 }
 
 func TestBadSettingsNameFieldAndFix(t *testing.T) {
@@ -41,6 +50,10 @@
 		"seeds":  strings.Replace(good, `10.1.0.2:8166`, `nobody`, 1),
 		"memory": strings.Replace(good, `284`, `1`, 1),
 		"colour": strings.Replace(good, `"name"`, `"colour"`, 1),
+		// A share of rank 0 would never be used, and shares that leave nothing to earlier ranks would starve urgent jobs.
+		"shares":    strings.Replace(good, `"name"`, `"shares":{"0":0.3},"name"`, 1),
+		"shares.2":  strings.Replace(good, `"name"`, `"shares":{"2":0},"name"`, 1),
+		"add up to": strings.Replace(good, `"name"`, `"shares":{"1":0.5,"2":0.5},"name"`, 1),
 	} {
 		is := is.New(t)
 		_, err := read(t, text)
--- a/internal/plat/fakes/leased.go
+++ b/internal/plat/fakes/leased.go
@@ -48,6 +48,8 @@
 	limits   lease.Limits
 	// Crashed is called when a task crashes the endpoint, which answers no call from then on.
 	Crashed func()
+	// Speed is how fast tasks run here whatever Behavior says; 0 means 1. It is set before the first call.
+	Speed float64
 
 	mu         sync.Mutex
 	behavior   Behavior
@@ -247,6 +249,9 @@
 	if e.behavior.Slow > 0 {
 		r.duration = time.Duration(e.behavior.Slow * float64(r.duration))
 	}
+	if e.Speed > 0 {
+		r.duration = time.Duration(float64(r.duration) / e.Speed)
+	}
 	if w.Fail || e.behavior.Fail {
 		r.how, r.duration = lease.Failed, r.duration/10
 	}
--- a/internal/task/lease/lease.go
+++ b/internal/task/lease/lease.go
@@ -23,12 +23,20 @@
 	Addr   netip.AddrPort
 	Domain string
 	Pool   string
-	Labels []string // including the rack
+	Labels []string // the kind of endpoint first, if the platform names it, and the rack
 	Size   job.Size
 	Drains bool
 	Cold   time.Duration // how much longer runs are slow here, after the endpoint's start
 }
 
+// Kind returns the endpoint's kind; empty if it has no label.
+func (in Info) Kind() string {
+	if len(in.Labels) == 0 {
+		return ""
+	}
+	return in.Labels[0]
+}
+
 // Same reports whether o describes the endpoint identically. Cold is not compared,
 // since it shrinks with time.
 func (in Info) Same(o Info) bool {
--- a/internal/task/owner/scheduler.go
+++ b/internal/task/owner/scheduler.go
@@ -77,6 +77,9 @@
 	// Outlived is called for each job that ended before its runs, with the time from the job's last
 	// keepalive to the end of its last run; may be nil.
 	Outlived func(d time.Duration)
+	// Speeds, Fill and Shares switch on what a deployment asks for; see serve.Options.
+	Speeds, Fill bool
+	Shares       map[int]float64 // by rank
 }
 
 // Scheduler holds the state of one owner; the caller serializes all calls.
--- a/internal/tool/grid/grid.go
+++ b/internal/tool/grid/grid.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -52,7 +53,15 @@
 	UnknownRetries int
 	// CrashShare is the share of jobs with a task that crashes every endpoint that starts it.
 	CrashShare float64
-	Log        io.Writer
+	// Options are those of all VMs. OptionsOf, if set, replaces them for the n-th VM.
+	Options   serve.Options
+	OptionsOf func(n int) serve.Options
+	// Speeds are the speeds of the endpoints, one after the other and again from the first; nil means 1 for all.
+	// Endpoints of one speed are of one kind.
+	Speeds []float64
+	// LongShare is the share of tasks that take LongFactor times as long as their job declares.
+	LongShare, LongFactor float64
+	Log                   io.Writer
 }
 
 // Fault is an action on the grid at a time since its start.
@@ -173,7 +182,14 @@
 		ID: id, Addr: fakes.Addrs(10, n+1)[n], Domain: domain, Pool: pool,
 		Labels: []string{fmt.Sprintf("rack-%d", n/6)}, Size: job.Size{Cores: cores, Memory: 128},
 	}
+	speed := 1.0
+	if len(g.Speeds) > 0 {
+		k := n % len(g.Speeds)
+		speed = g.Speeds[k]
+		in.Labels = append([]string{fmt.Sprintf("kind-%g", speed)}, in.Labels...)
+	}
 	e := fakes.NewLeased(in, Limits, g.Judge, time.Duration(n)*time.Second, g.Seed+uint64(n))
+	e.Speed = speed
 	e.Crashed = func() { g.replaceEndpoint(e) }
 	g.endpoints[id] = e
 	g.endpointIDs = append(g.endpointIDs, id)
@@ -200,7 +216,7 @@
 	}
 	log := slog.New(slog.NewTextHandler(out, &slog.HandlerOptions{Level: slog.LevelInfo})).With("vm", at)
 	timers := timer.New(v.clock)
-	v.Node = serve.NewNode(ctx, serve.Config{VM: at, Domain: domain, Inc: v.Inc, Limits: Limits, RemoteFactor: 2}, serve.Deps{
+	v.Node = serve.NewNode(ctx, serve.Config{VM: at, Domain: domain, Inc: v.Inc, Limits: Limits, RemoteFactor: 2, Options: g.optionsAt(at)}, serve.Deps{
 		Platform: serve.Platform{
 			Agent: &vmAgent{g, v}, Plans: &vmTopic[plan.Decl]{g.Plans, g, v, &g.OtherReads}, Endpoints: &vmTopic[lease.Info]{g.Roster, g, v, &g.EndpointReads},
 			VMs: &registry{vmTopic[serve.VM]{g.Registry, g, v, &g.OtherReads}}, Presence: &presence{vmTopic[serve.Probe]{g.Probes, g, v, &g.OtherReads}},
@@ -226,6 +242,14 @@
 	return v
 }
 
+// optionsAt returns the options of the VM at an address.
+func (g *Grid) optionsAt(at netip.AddrPort) serve.Options {
+	if g.OptionsOf == nil {
+		return g.Options
+	}
+	return g.OptionsOf(slices.Index(fakes.Addrs(20, g.VMs), at))
+}
+
 // The balancer probes each address every balancerInterval. After balancerMisses failed probes in a
 // row it sends no callers there until it finds a VM ready.
 const (
--- a/internal/tool/grid/load.go
+++ b/internal/tool/grid/load.go
@@ -163,6 +163,9 @@
 	}
 	for i := range width {
 		w := lognormal(r, work, 0.15)
+		if g.LongShare > 0 && r.Float64() < g.LongShare {
+			w *= g.LongFactor
+		}
 		longest = max(longest, w)
 		coreSeconds += cores * w / float64(time.Second)
 		g.Judge.Expect(batch.Task{Job: j.ID, Index: i}.String(), fakes.Work{Need: j.Steps[0].Need, Run: time.Duration(w), Crash: i == crashing})
