Lease: an endpoint that restarts under its ID is noticed

Cause: endpoints may start again under the ID that they had; the serials of their ends then begin at 1. The owner went on with the cursor it had reached, so it acknowledged ends that it had not seen. Every run there seemed lost and was started again until the serials had caught up, and a task that crashed its endpoint was not suspected.

Change: reports carry when the endpoint's process started (field born, which the platform now sends). A newer one resets the cursor, its runs that are not listed count as lost with their endpoint, and reports of the former process are dropped.

--- a/internal/plat/fakes/leased.go
+++ b/internal/plat/fakes/leased.go
@@ -131,6 +131,18 @@
 	}
 }
 
+// Restart starts the endpoint anew under its ID: it runs nothing, has seen no fence, and its clock and the serials of its
+// ends begin again.
+func (e *Leased) Restart() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for n := range e.runs {
+		e.end(n, lease.Gone)
+	}
+	e.boot, e.fence, e.until, e.serial = time.Now(), 0, time.Time{}, 0
+	e.highestRun, e.ends = map[string]int{}, nil
+}
+
 // Wake lets another instance at its address answer the calls to a dead endpoint.
 func (e *Leased) Wake() {
 	e.mu.Lock()
@@ -391,7 +403,7 @@
 }
 
 func (e *Leased) report() lease.Report {
-	r := lease.Report{Clock: e.clock(), Ended: slices.Clone(e.ends)}
+	r := lease.Report{Clock: e.clock(), Born: e.boot.UnixMilli(), Ended: slices.Clone(e.ends)}
 	for n, x := range e.runs {
 		done := 0
 		if !e.behavior.Hang {
--- a/internal/task/lease/lease.go
+++ b/internal/task/lease/lease.go
@@ -112,6 +112,7 @@
 // Report is an endpoint's answer to a lease renewal.
 type Report struct {
 	Clock   int64 // the endpoint's clock, milliseconds
+	Born    int64 // when the endpoint started, Unix milliseconds; 0 if it doesn't say
 	Running []Listed
 	Ended   []Ended
 }
@@ -135,6 +136,7 @@
 	Missed    int  // unanswered renewals in a row
 
 	limits      Limits
+	born        int64     // when the endpoint started, as it said last; 0 if unknown
 	clock       int64     // the endpoint's clock
 	clockAt     time.Time // when clock was read
 	leaseEnd    time.Time // end of the last requested lease, by the owner's clock
@@ -258,6 +260,13 @@
 // ApplyReport applies the answer to a renewal that was sent at the given time. It returns
 // the runs that are over and the orphans to stop.
 func (e *Endpoint) ApplyReport(now, sent time.Time, r Report) (over []Finished, orphans []Orphan) {
+	if r.Born > 0 && r.Born < e.born { // an answer of a former process that one of the present has overtaken
+		return nil, nil
+	}
+	if e.Restarts(r) {
+		over = e.restart(r)
+	}
+	e.born = max(e.born, r.Born)
 	e.Silent, e.Missed = false, 0
 	e.clock, e.clockAt = r.Clock, now
 	e.unackedEnds = len(r.Ended) > 0
@@ -307,6 +316,26 @@
 	return over, orphans
 }
 
+// restart applies that the endpoint has started again under its ID. It runs nothing of before, and the serials of its ends
+// begin again: with the former cursor, its owner would acknowledge ends that it has not seen, and every run would seem
+// lost. Starts without an answer may still reach the new process.
+func (e *Endpoint) restart(r Report) (over []Finished) {
+	e.Cursor = 0
+	clear(e.orphans)
+	for n, run := range e.Runs {
+		listed := slices.ContainsFunc(r.Running, func(x Listed) bool { return x.Name == n.Task && x.Num == n.Num })
+		if run.Stage != Running || listed {
+			continue
+		}
+		e.end(run)
+		over = append(over, Finished{run, Died})
+	}
+	return over
+}
+
+// Restarts reports whether a report is that of a newer process than the last one.
+func (e *Endpoint) Restarts(r Report) bool { return e.born > 0 && r.Born > e.born }
+
 // endedUnlisted reports whether a run that an answer doesn't list is certainly over: the run
 // or its stop had been confirmed before the renewal was sent.
 func (e *Endpoint) endedUnlisted(r *Run, sent time.Time) bool {
--- a/internal/task/lease/lease_test.go
+++ b/internal/task/lease/lease_test.go
@@ -200,3 +200,29 @@
 		})
 	})
 }
+
+// Guards against ends that are acknowledged unseen after an endpoint has started again under its ID, and against an
+// answer of its former process that comes later.
+func TestEndpointThatRestartsBeginsItsSerialsAnew(t *testing.T) {
+	is := is.New(t)
+	e := New(Info{ID: "i-1", Size: job.Size{Cores: 64}}, 7, Limits{Hold: time.Second})
+	e.ApplyReport(t0, t0, Report{Clock: 1000, Born: 5})
+	first := e.Start(t0, batch.Task{Job: "a"}, 1, job.Size{Cores: 8})
+	second := e.Start(t0, batch.Task{Job: "b"}, 1, job.Size{Cores: 8})
+	unanswered := e.Start(t0, batch.Task{Job: "c"}, 1, job.Size{Cores: 8})
+	e.Started(t0, first)
+	e.Started(t0, second)
+	over, _ := e.ApplyReport(t0, t0, Report{Clock: 1010, Born: 5, Running: []Listed{{Name: second.Name, Num: 1}}, Ended: []Ended{{Serial: 40, Name: first.Name, Num: 1}}})
+	is.Equal(len(over), 1)
+	is.Equal(e.Cursor, int64(40))
+
+	over, _ = e.ApplyReport(t0, t0, Report{Clock: 10, Born: 9})
+	is.Equal(over, []Finished{{second, Died}})
+	is.Equal(e.Cursor, int64(0))
+	is.Equal(unanswered.Stage, Sent) // its start may still reach the new process
+
+	over, orphans := e.ApplyReport(t0, t0, Report{Clock: 1100, Born: 5, Ended: []Ended{{Serial: 41, Name: unanswered.Name, Num: 1}}})
+	is.Equal(len(over)+len(orphans), 0)
+	over, _ = e.ApplyReport(t0, t0, Report{Clock: 20, Born: 9, Ended: []Ended{{Serial: 1, Name: unanswered.Name, Num: 1, State: Done}}})
+	is.Equal(over, []Finished{{unanswered, Done}})
+}
--- a/internal/task/owner/crash_test.go
+++ b/internal/task/owner/crash_test.go
@@ -175,3 +175,17 @@
 	third.expireSuspects(now.Add(runNumsKept))
 	is.Equal(third.crashingTask("bad"), "")
 }
+
+// Guards against a task that crashes one endpoint after the other and is never suspected, since they start again under
+// their IDs before they fall silent.
+func TestTaskWhoseEndpointRestartsUnderItsIDIsSuspected(t *testing.T) {
+	is := is.New(t)
+	sc := newScheduler(64)
+	sc.Renewed(t0, t0, sc.Find("a"), lease.Report{Clock: 1000, Born: 1})
+	sc.Submit(t0, key(1), newJob("j1", 0, tasks(1, 30, 200*time.Millisecond)))
+	begin(sc, t0, sc.TakeActions().Starts)
+	list(sc, t0.Add(10*time.Millisecond), "a", 10)
+	sc.Renewed(t0.Add(50*time.Millisecond), t0.Add(50*time.Millisecond), sc.Find("a"), lease.Report{Clock: 10, Born: 2})
+	is.Equal(len(sc.TakeActions().Starts), 1) // it begins anew
+	is.True(sc.isSuspect("j1.0.0.0"))
+}
--- a/internal/task/owner/events.go
+++ b/internal/task/owner/events.go
@@ -116,7 +116,12 @@
 		return
 	}
 	wasSilent, known := ep.Silent, ep.Synced
+	restarts := ep.Restarts(r)
 	ended, orphans := ep.ApplyReport(now, sent, r)
+	if restarts {
+		sc.cfg.Log.Info("endpoint restarted under its ID", "endpoint", ep.ID, "born", r.Born, "runs_lost", len(ended), "runs", len(ep.Runs))
+		sc.recordLostRuns(now, s, ended)
+	}
 	if !known && ep.Synced && ep.TakenOver {
 		sc.noteCleared(now, s)
 	}
