Serve: an answer for a silent owner says when to come back

Cause: a job whose owner fell silent was answered as unknown without a time to come back, unless it was known that the owner had it from an earlier submission. TestResubmissionIsAnsweredInTimeUnderFaults asks for one and failed once, in its case of a first VM that is paused: 2 of 40 second submissions had gone to the paused VM as new jobs (race detector, load 28).

Change: such an answer names the time after which no run of the job goes on (Limits.Outlive, spread), as those for resubmitted jobs do.

--- a/internal/edge/serve/submit.go
+++ b/internal/edge/serve/submit.go
@@ -319,7 +319,7 @@
 		if c.owner != vm || c.ended {
 			continue
 		}
-		a := job.Answer{Outcome: job.Unknown, Reason: job.Silent, Detail: why}
+		a := job.Answer{Outcome: job.Unknown, Reason: job.Silent, Retry: jitter(d.cfg.Limits.Outlive()), Detail: why}
 		if c.formerOwner == vm {
 			a = d.mayStillRun(vm)
 		}
