--- a/internal/task/lease/lease.go
+++ b/internal/task/lease/lease.go
@@ -271,7 +271,28 @@
 	e.clock, e.clockAt = r.Clock, now
 	e.unackedEnds = len(r.Ended) > 0
 	e.TakenOver = e.TakenOver || (!e.Synced && len(r.Running)+len(r.Ended) > 0)
-	for _, x := range r.Ended {
+	over = append(over, e.applyEnds(r.Ended)...)
+	listed, orphans := e.applyRunning(now, r.Running)
+	for n := range e.orphans {
+		if !listed[n] {
+			delete(e.orphans, n)
+		}
+	}
+	// Renewing for new runs would also keep a former owner's runs alive, while their tasks
+	// are started again once that owner's lease must have expired. So nothing starts until they are gone.
+	e.Synced = e.Synced || len(e.orphans) == 0
+	for n, run := range e.Runs {
+		if !listed[n] && e.endedUnlisted(run, sent) {
+			e.end(run)
+			over = append(over, Finished{run, Gone})
+		}
+	}
+	return over, orphans
+}
+
+// applyEnds applies the listed ends that are new.
+func (e *Endpoint) applyEnds(ends []Ended) (over []Finished) {
+	for _, x := range ends {
 		if x.Serial <= e.Cursor {
 			continue // already applied from a later answer
 		}
@@ -283,8 +304,13 @@
 			over = append(over, Finished{run, x.State})
 		}
 	}
-	listed := make(map[RunID]bool, len(r.Running))
-	for _, x := range r.Running {
+	return over
+}
+
+// applyRunning applies the list of what runs, and returns it with the orphans to stop.
+func (e *Endpoint) applyRunning(now time.Time, running []Listed) (listed map[RunID]bool, orphans []Orphan) {
+	listed = make(map[RunID]bool, len(running))
+	for _, x := range running {
 		n := RunID{x.Name, x.Num}
 		listed[n] = true
 		if run := e.Runs[n]; run != nil {
@@ -299,21 +325,7 @@
 			orphans = append(orphans, n)
 		}
 	}
-	for n := range e.orphans {
-		if !listed[n] {
-			delete(e.orphans, n)
-		}
-	}
-	// Renewing for new runs would also keep a former owner's runs alive, while their tasks
-	// are started again once that owner's lease must have expired. So nothing starts until they are gone.
-	e.Synced = e.Synced || len(e.orphans) == 0
-	for n, run := range e.Runs {
-		if !listed[n] && e.endedUnlisted(run, sent) {
-			e.end(run)
-			over = append(over, Finished{run, Gone})
-		}
-	}
-	return over, orphans
+	return listed, orphans
 }
 
 // restart applies that the endpoint has started again under its ID. It runs nothing of before, and the serials of its ends
