Health, lease: slow by several runs in a row; when a run last made progress

Cause: the average of run times takes an endpoint for slow after two of the 3 in 100 tasks that take 7 times as long, and a run counts as stuck because it takes long, even while it makes progress.

Change: a tracker can ask for a streak of slow runs (RequireStreak); runs keep when a report last showed more progress. Without RequireStreak everything is as before.

--- a/internal/task/health/tracker.go
+++ b/internal/task/health/tracker.go
@@ -10,6 +10,7 @@
 import (
 	"math"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 )
@@ -73,6 +74,7 @@
 	kinds           map[string]*kind
 	gain            float64
 	meanLogSlowness float64 // average log of run time over expected run time, all endpoints
+	streak          int     // see RequireStreak; 0 for none
 }
 
 // kind holds what is known about a kind of task of one tenant.
@@ -90,6 +92,7 @@
 	backoff     time.Duration // the latest time until retryAt
 	logSlowness float64       // average log of run time over expected run time
 	samples     int           // run times in logSlowness
+	recent      []float64     // the latest streak logs of run time over expected run time
 }
 
 // maxKinds bounds the memory that invented kinds can take.
@@ -100,6 +103,14 @@
 	return &Tracker{gain: gain, endpoints: map[netip.AddrPort]*state{}, kinds: map[string]*kind{}}
 }
 
+// RequireStreak makes an endpoint count as slow only if each of its latest n runs shows it, instead of their
+// average: where single tasks take many times as long as others, two of them make an average endpoint look slow.
+func (t *Tracker) RequireStreak(n int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.streak = n
+}
+
 // SetEndpoints replaces the set of endpoints and their slots; known endpoints keep their health.
 func (t *Tracker) SetEndpoints(slots map[netip.AddrPort]int) {
 	t.mu.Lock()
@@ -161,6 +172,10 @@
 	}
 	x := math.Log(r.Ran.Seconds() / r.Expected.Seconds())
 	s.samples++
+	if t.streak > 0 {
+		s.recent = append(s.recent, x)
+		s.recent = s.recent[max(0, len(s.recent)-t.streak):]
+	}
 	s.logSlowness += max(t.gain, 1/float64(s.samples)) * (x - s.logSlowness)
 	t.meanLogSlowness += 0.01 * (x - t.meanLogSlowness)
 }
@@ -229,13 +244,25 @@
 			return 0
 		}
 		return 1 // one trial task at a time
-	case s.samples >= t.minSamples() && s.logSlowness-t.meanLogSlowness > stragglerLog:
+	case t.slowness(s) > stragglerLog:
 		return max(1, s.slots/8)
 	default:
 		return max(1, s.slots>>min(3, int(math.Ceil(s.strikes-0.25))))
 	}
 }
 
+// slowness returns the logarithm of an endpoint's slowdown against the average one, 0 if too few runs show any.
+func (t *Tracker) slowness(s *state) float64 {
+	switch {
+	case t.streak == 0 && s.samples >= t.minSamples():
+		return s.logSlowness - t.meanLogSlowness
+	case t.streak > 0 && len(s.recent) >= t.streak:
+		return max(0, slices.Min(s.recent)-t.meanLogSlowness)
+	default:
+		return 0
+	}
+}
+
 // minSamples returns how many samples a valid speed needs: twice the inverse of the gain.
 func (t *Tracker) minSamples() int { return int(2 / t.gain) }
 
@@ -244,10 +271,10 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.endpoints[a]
-	if s == nil || s.samples < t.minSamples() {
+	if s == nil {
 		return 100
 	}
-	return int(100 * min(20, max(0.5, math.Exp(s.logSlowness-t.meanLogSlowness))))
+	return int(100 * min(20, max(0.5, math.Exp(t.slowness(s)))))
 }
 
 // Ejected lists the ejected endpoints, for peers and operators.
--- a/internal/task/lease/lease.go
+++ b/internal/task/lease/lease.go
@@ -80,6 +80,7 @@
 	Stage         Stage
 	SentAt        time.Time // when the start was sent
 	Percent       int       // progress, as last listed
+	Advanced      time.Time // when a report last showed more progress; at first when the start was sent
 	SpeedRecorded bool      // its speed is recorded in its endpoint's health
 	LastSeen      time.Time // when it was last listed or confirmed
 	Job           Job       // the job it belongs to
@@ -164,7 +165,7 @@
 
 // Start adds a run and reserves its capacity until the run is over.
 func (e *Endpoint) Start(now time.Time, t batch.Task, num int, need job.Size) *Run {
-	r := &Run{Task: t, Name: t.String(), Num: num, Need: need, SentAt: now, LastSeen: now, Step: t.Step}
+	r := &Run{Task: t, Name: t.String(), Num: num, Need: need, SentAt: now, LastSeen: now, Advanced: now, Step: t.Step}
 	e.Runs[RunID{r.Name, num}] = r
 	e.Used.Cores += need.Cores
 	e.Used.Memory += need.Memory
@@ -314,6 +315,9 @@
 		n := RunID{x.Name, x.Num}
 		listed[n] = true
 		if run := e.Runs[n]; run != nil {
+			if x.Percent > run.Percent {
+				run.Advanced = now
+			}
 			run.Percent, run.LastSeen = x.Percent, now
 			if run.Stage == Sent {
 				run.Stage = Running
