Owner: place, admit and move by the speed of endpoints

Cause: with endpoints taken for equal, long jobs run on slow endpoints and are late at half load, and runs are stopped that are only long.

Change (setting speeds): the choice of the endpoint, the forecast, the pressure, what counts as stuck or slow and the moves go by the endpoint's factor and the run's own work.

--- a/internal/task/owner/admit.go
+++ b/internal/task/owner/admit.go
@@ -93,7 +93,7 @@
 	total, incoming := 0.0, 0.0
 	for _, s := range sc.order {
 		if !s.lost && !s.handingOver && s.Open() && !sc.isSlow(s) {
-			total += sc.needs.fill(s.Size)
+			total += sc.needs.fill(s.Size) * s.speed
 		}
 	}
 	for r := range min(rank, rankCount) {
@@ -114,18 +114,12 @@
 	if len(places) == 0 {
 		return time.Hour
 	}
-	occupy := func(d time.Duration) time.Duration {
-		at := places[0]
-		i, _ := slices.BinarySearch(places[1:], at+d)
-		copy(places[:i], places[1:i+1])
-		places[i] = at + d
-		return at
-	}
 	// Waiting tasks can't use the room that is free now, or they would have started: a small
 	// task fits into a gap that is too small for the larger ones before it.
 	first, d := 0, sc.expect(e.Job, &e.Steps[0])
-	for first < e.Steps[0].Count && places[0] == 0 {
-		occupy(d)
+	last := d
+	for first < e.Steps[0].Count && places[0].at == 0 {
+		last = max(last, places.occupySoonest(d))
 		first++
 	}
 	for _, q := range sc.queue {
@@ -135,16 +129,15 @@
 		for i := range q.steps {
 			d := sc.expect(q.Job, &q.Steps[i])
 			for range q.steps[i].waiting {
-				occupy(d)
+				places.occupyFirst(d)
 			}
 		}
 	}
-	last := d
 	for i := range e.Steps {
 		d := sc.expect(e.Job, &e.Steps[i])
 		for k := range e.Steps[i].Count {
 			if i > 0 || k >= first {
-				last = max(last, occupy(d)+d)
+				last = max(last, places.occupySoonest(d))
 			}
 		}
 	}
@@ -164,13 +157,13 @@
 const minShare = 0.25
 
 // places lists when each place for a task of this need becomes free, the earliest first.
-func (sc *Scheduler) places(now time.Time, need job.Size, e *entry) (at []time.Duration) {
+func (sc *Scheduler) places(now time.Time, need job.Size, e *entry) (all placeList) {
 	for _, s := range sc.order {
 		if s.lost || s.handingOver || !s.Open() || s.Pool != e.Pool || sc.maxRuns(now, s) == 0 || (!e.late && sc.isSlow(s)) {
 			continue
 		}
 		for range fitCount(s.Free(), need) {
-			at = append(at, 0)
+			all = append(all, place{0, s.speed})
 		}
 		room := s.Free()
 		room.Cores -= float64(fitCount(room, need)) * need.Cores
@@ -183,12 +176,12 @@
 			room.Cores += r.Need.Cores
 			if need.Cores <= 0 || room.Cores >= need.Cores {
 				room.Cores -= need.Cores
-				at = append(at, sc.remaining(now, r))
+				all = append(all, place{sc.remaining(now, r), s.speed})
 			}
 		}
 	}
-	slices.Sort(at)
-	return at
+	slices.SortFunc(all, place.compare)
+	return all
 }
 
 // remaining returns how much longer a run is expected to take.
@@ -198,6 +191,9 @@
 		return sc.cfg.Limits.Stop
 	}
 	d := sc.expect(e.Job, &e.Steps[r.Step])
+	if sc.speeds != nil {
+		d = sc.expectedHere(e.runs[r], d, r)
+	}
 	ran := now.Sub(r.SentAt)
 	return max(d-ran, d/5)
 }
--- a/internal/task/owner/dispatch.go
+++ b/internal/task/owner/dispatch.go
@@ -76,6 +76,7 @@
 	r := s.Start(now, batch.Task{Job: e.ID, Step: i, Index: k}, st.runNums[k], e.Steps[i].Need)
 	r.Job = e
 	s.lastStart = now
+	sc.noteUse(now, e, sc.expect(e.Job, &e.Steps[i]))
 	e.runs[r] = s.Endpoint
 	e.starts++
 	if e.late { // begun jobs go first: their finished work is lost if the rest waits too long
@@ -95,6 +96,10 @@
 		name = t.String()
 	}
 	retry := e.steps[t.Step].failures[t.Index] > 0 && sc.hasGoodEndpoint(e, st)
+	use := 0.0
+	if sc.speeds != nil {
+		use = sc.use(now, e, sc.expect(e.Job, st))
+	}
 	for _, s := range sc.order {
 		if retry && (s.lastRunFailed() || sc.awaitsSuccess(now, e, s, t)) {
 			continue
@@ -107,6 +112,9 @@
 			c += s.Size.Cores * sc.cfg.RemoteFactor // slower: better than waiting, worse than any near endpoint
 		}
 		c *= float64(sc.health.Slowness(s.Addr)) / 100
+		if sc.speeds != nil {
+			c += s.Size.Cores * sc.speedCost(use, s)
+		}
 		if retry { // prefer the endpoint with the latest success
 			c = float64(now.Sub(s.lastSuccess))
 		}
@@ -156,6 +164,9 @@
 	if !e.late && sc.isSlow(s) && now.Sub(s.lastStart) < slowTrialInterval {
 		return false
 	}
+	if sc.tooSlow(now, e, st, s) {
+		return false
+	}
 	return len(s.Runs) < sc.maxRuns(now, s)
 }
 
--- a/internal/task/owner/endpoints.go
+++ b/internal/task/owner/endpoints.go
@@ -24,6 +24,7 @@
 	}
 	s := &endpoint{Endpoint: lease.New(in, fence, sc.cfg.Limits), cordonedAt: sc.cordons[in.Domain]}
 	sc.endpoints[in.ID] = s
+	sc.addSpeed(s)
 	sc.order = append(sc.order, s)
 	slices.SortFunc(sc.order, func(a, c *endpoint) int { return strings.Compare(a.ID, c.ID) })
 	sc.updateSlots()
@@ -45,6 +46,7 @@
 func (sc *Scheduler) remove(id string) {
 	s := sc.endpoints[id]
 	delete(sc.endpoints, id)
+	sc.removeSpeed(id)
 	sc.order = slices.DeleteFunc(sc.order, func(x *endpoint) bool { return x == s })
 	sc.updateSlots()
 }
--- a/internal/task/owner/events.go
+++ b/internal/task/owner/events.go
@@ -120,6 +120,8 @@
 	ended, orphans := ep.ApplyReport(now, sent, r)
 	if restarts {
 		sc.cfg.Log.Info("endpoint restarted under its ID", "endpoint", ep.ID, "born", r.Born, "runs_lost", len(ended), "runs", len(ep.Runs))
+		sc.removeSpeed(ep.ID) // a new process may run on other hardware
+		sc.addSpeed(s)
 		sc.recordLostRuns(now, s, ended)
 	}
 	if !known && ep.Synced && ep.TakenOver {
@@ -224,9 +226,11 @@
 		ran := now.Sub(f.Run.SentAt)
 		rep.End = health.OK
 		if !f.Run.SpeedRecorded {
-			rep.Ran, rep.Expected = ran, sc.expect(e.Job, &e.Steps[f.Run.Step])
+			usual := sc.expect(e.Job, &e.Steps[f.Run.Step])
+			rep.Ran, rep.Expected = ran, s.on(usual)
+			sc.recordSpeed(now, s, ran, usual)
 		}
-		sc.learn.Record(learn.Key{Tenant: e.Pool, Kind: e.Queue}, ran)
+		sc.learn.Record(learn.Key{Tenant: e.Pool, Kind: e.Queue}, s.usual(ran))
 	case lease.Failed:
 		s.lastFailure = timer.Later(s.lastFailure, f.Run.SentAt)
 		rep.End = health.Bad
--- a/internal/task/owner/progress.go
+++ b/internal/task/owner/progress.go
@@ -43,16 +43,19 @@
 			continue
 		}
 		usual := sc.expect(e.Job, &e.Steps[r.Step])
-		ran := now.Sub(r.SentAt)
-		if ran < time.Duration(judgeAfterPart*float64(usual)) {
+		ran, here := now.Sub(r.SentAt), s.on(usual)
+		if ran < time.Duration(judgeAfterPart*float64(here)) {
 			continue
 		}
 		estimate := ran * 100 / time.Duration(max(minPercent, r.Percent))
 		if !r.SpeedRecorded {
 			r.SpeedRecorded = true
-			sc.reportHealth(now, health.Report{Addr: s.Addr, Kind: e.Pool + "/" + e.Queue, End: health.Going, Ran: estimate, Expected: usual}, s.ID)
+			sc.reportHealth(now, health.Report{Addr: s.Addr, Kind: e.Pool + "/" + e.Queue, End: health.Going, Ran: estimate, Expected: here}, s.ID)
+			sc.recordSpeed(now, s, estimate, usual)
 		}
-		if sc.isSlow(s) && estimate-ran > time.Duration(moveFactor*float64(usual))+moveCost {
+		if sc.speeds != nil {
+			sc.moveIfLate(now, e, s, r, estimate)
+		} else if sc.isSlow(s) && estimate-ran > time.Duration(moveFactor*float64(usual))+moveCost {
 			sc.move(now, e, s, r)
 		}
 	}
@@ -68,7 +71,24 @@
 	if to := sc.pick(now, e, st, r.Task); to == nil || sc.isSlow(to) {
 		return
 	}
+	sc.stopToMove(now, e, s, r)
+}
+
+// moveIfLate stops a run that misses its objective on this endpoint if its task would end sooner on the fastest one
+// that has room now.
+func (sc *Scheduler) moveIfLate(now time.Time, e *entry, s *endpoint, r *lease.Run, total time.Duration) {
+	st := &e.Steps[r.Step]
+	if e.moves >= e.Tasks() || st.Gang {
+		return
+	}
+	if to := sc.fastest(now, e, st, r.Task); to != nil && sc.shouldMove(now, e, s, r, total, to) {
+		sc.stopToMove(now, e, s, r)
+	}
+}
+
+func (sc *Scheduler) stopToMove(now time.Time, e *entry, s *endpoint, r *lease.Run) {
 	e.moves++
-	sc.cfg.Log.Info("run moved", "job", e.ID, "task", r.Name, "run", r.Num, "endpoint", s.ID, "percent", r.Percent, "after", now.Sub(r.SentAt).Round(time.Millisecond), "slow_percent", sc.health.Slowness(s.Addr))
+	sc.cfg.Log.Info("run moved", "job", e.ID, "task", r.Name, "run", r.Num, "endpoint", s.ID, "percent", r.Percent, "after", now.Sub(r.SentAt).Round(time.Millisecond),
+		"slow_percent", sc.health.Slowness(s.Addr), "factor", round2(s.speed))
 	sc.stop(s.Endpoint, r)
 }
--- a/internal/task/owner/review.go
+++ b/internal/task/owner/review.go
@@ -106,7 +106,7 @@
 		if r.Stage != lease.Running || !sc.stuck(now, e, r) {
 			continue
 		}
-		sc.cfg.Log.Info("run stuck", "job", e.ID, "task", r.Name, "run", r.Num, "endpoint", ep.ID, "percent", r.Percent, "after", now.Sub(r.SentAt).Round(time.Millisecond))
+		sc.cfg.Log.Info("run stuck", "job", e.ID, "task", r.Name, "run", r.Num, "endpoint", ep.ID, "percent", r.Percent, "after", now.Sub(r.SentAt).Round(time.Millisecond), "factor", round2(sc.speedOf(ep.ID)))
 		sc.reportHealth(now, health.Report{Addr: ep.Addr, Kind: e.Pool + "/" + e.Queue, End: health.Silent}, ep.ID)
 		sc.stop(ep, r)
 	}
@@ -121,6 +121,9 @@
 )
 
 func (sc *Scheduler) stuck(now time.Time, e *entry, r *lease.Run) bool {
+	if sc.speeds != nil && !e.Steps[r.Step].Gang {
+		return sc.stalled(r)
+	}
 	limit := max(minStuckTime, stuckFactor*sc.expect(e.Job, &e.Steps[r.Step]))
 	return now.Sub(r.SentAt) > limit && r.Percent < 50
 }
--- a/internal/task/owner/scheduler.go
+++ b/internal/task/owner/scheduler.go
@@ -62,6 +62,7 @@
 	slots       int       // tasks that run here at once
 	lastFailure time.Time // start of the latest run that failed here
 	lastSuccess time.Time // start of the latest run that was done here
+	speed       float64   // how many times as fast as a usual endpoint; 1 without estimates
 }
 
 // Config holds the settings of a Scheduler.
@@ -109,15 +110,20 @@
 	recentCleared     []clearedEntry  // endpoints taken over from other owners
 	// cordons holds the time since when the endpoints of a failure domain get no new work.
 	cordons map[string]time.Time
+	speeds  *speedState // nil unless the settings ask for it
 }
 
 // New returns a Scheduler that owns no endpoint.
 func New(cfg Config) *Scheduler {
-	return &Scheduler{
+	sc := &Scheduler{
 		cfg: cfg, endpoints: map[string]*endpoint{}, jobs: map[Key]*entry{}, byID: map[string]*entry{},
 		health: health.New(health.SteadyGain), runNums: map[string]int{}, cordons: map[string]time.Time{},
 		suspects: map[string]int{}, exemptions: map[string]exemption{}, pending: map[string]int{}, suspectedAt: map[string]time.Time{}, losses: map[string]loss{},
 	}
+	if cfg.Speeds {
+		sc.initSpeeds()
+	}
+	return sc
 }
 
 // TakeActions returns the actions since the last call.
@@ -130,7 +136,7 @@
 // Jobs returns the number of jobs that wait or run.
 func (sc *Scheduler) Jobs() int { return len(sc.jobs) }
 
-// expect returns how long a task of a job's step is expected to run. The kind's mean and the declared
+// expect returns how long a task of a job's step is expected to run on a usual endpoint. The kind's mean and the declared
 // time are about equally far off, so their geometric mean is closer than either.
 func (sc *Scheduler) expect(j *batch.Job, s *batch.Step) time.Duration {
 	k := learn.Key{Tenant: j.Pool, Kind: j.Queue}
