Serve: neighbours tell each other the speeds of their endpoints

Cause: an owner that takes endpoints over, or starts anew, places long jobs on slow ones until it has measured them.

Gauges for the slowest and fastest factor and the number of endpoints known.

--- a/internal/edge/serve/beat.go
+++ b/internal/edge/serve/beat.go
@@ -30,16 +30,27 @@
 	d.updateIsolation(now)
 	d.updateClaims(now)
 	b := d.newBeat(now)
+	speeds := d.speedEntries(now)
 	d.perform()
 	d.mu.Unlock()
 	d.beatCount++
-	var to []netip.AddrPort
+	var to, near []netip.AddrPort
 	for i, m := range d.view.Members() {
-		if m.Speaks() && ((d.beatCount+int64(i))%view.RemoteFactor == 0 || b.Leaving || d.view.Often(m)) {
-			to = append(to, m.VM)
+		if !m.Speaks() || ((d.beatCount+int64(i))%view.RemoteFactor != 0 && !b.Leaving && !d.view.Often(m)) {
+			continue
 		}
+		if len(speeds) > 0 && m.Domain == d.cfg.Domain {
+			near = append(near, m.VM)
+			continue
+		}
+		to = append(to, m.VM)
 	}
 	d.deps.Mesh.SendAll(to, b)
+	if len(near) > 0 {
+		withSpeeds := *b
+		withSpeeds.Speeds = speeds
+		d.deps.Mesh.SendAll(near, &withSpeeds)
+	}
 }
 
 // updateStrain updates whether this VM's messages reach the others late; the caller holds the lock.
@@ -87,7 +98,9 @@
 	defer d.mu.Unlock()
 	if c.State == view.Alive && (d.aliveSince[c.VM].IsZero() || c.Reborn) {
 		d.aliveSince[c.VM] = now
-		_ = d.deps.Mesh.Send(c.VM, d.newBeat(now)) // it may be about to claim groups that are owned here
+		b := d.newBeat(now)
+		b.Speeds = d.speedsFor(now, c.VM)
+		_ = d.deps.Mesh.Send(c.VM, b) // it may be about to claim groups that are owned here
 	}
 	if c.State == view.Gone || c.State == view.Left {
 		delete(d.aliveSince, c.VM)
@@ -275,6 +288,7 @@
 		if len(m.Suspects)+len(m.Losses)+len(m.Cleared) > 0 {
 			d.applyReports(m)
 		}
+		d.mergeSpeeds(now, from, m)
 		if m.Load != nil {
 			d.mu.Lock()
 			d.recordLoad(now, from.VM, loadOf(*m.Load), from.Domain == d.cfg.Domain, m.Load.Next)
--- a/internal/edge/serve/node.go
+++ b/internal/edge/serve/node.go
@@ -134,6 +134,7 @@
 	prober        prober         // asks about neighbours that are not heard
 	answered      answeredProbes // probes of other VMs that some VM has answered
 	lossyUntil    time.Time      // until then orders are assumed to get lost
+	speedsSentAt  time.Time      // when heartbeats last carried estimates of endpoints' speeds
 }
 
 // reachedSpan is when an endpoint of a group was first and last reached.
@@ -160,6 +161,9 @@
 		defer d.mu.Unlock()
 		return float64(len(d.cordons))
 	})
+	if cfg.Options.Speeds {
+		d.addSpeedGauges()
+	}
 	return d
 }
 
--- a/internal/mesh/frame/msg.go
+++ b/internal/mesh/frame/msg.go
@@ -91,6 +91,9 @@
 	Relayed []uint64 `msgpack:"v,omitempty"`
 	// Unheard are the failure domains of which the sender has heard VMs, but hears none any more.
 	Unheard []string `msgpack:"h,omitempty"`
+	// Speeds are estimates of how fast endpoints of the sender's failure domain are; see speed.Tracker.Changes. Only VMs
+	// of that domain get them.
+	Speeds []byte `msgpack:"b,omitempty"`
 	// Load is the sender's load, if it is not sent in messages of its own.
 	Load *Load `msgpack:"y,omitempty"`
 }
