--- a/internal/tool/soak/soak.go
+++ b/internal/tool/soak/soak.go
@@ -168,9 +168,13 @@
 // limits holds the lease limits of the endpoints.
 var limits = lease.Limits{Hold: time.Second, Stop: 50 * time.Millisecond}
 
+// speeds are the speeds of the endpoints, in turn: healthy ones of three kinds.
+var speeds = []float64{0.7, 1, 1.7}
+
 func (s *Soak) addEndpoint(i int) error {
 	in := lease.Info{ID: fmt.Sprintf("ep-%02d", i), Domain: s.domain(i), Pool: pool, Size: endpointSize}
 	e := fakes.NewLeased(in, limits, s.judge, time.Duration(i)*time.Second, s.Seed+uint64(i))
+	e.Speed = speeds[i%len(speeds)]
 	e.Crashed = func() { s.replace(i, e) }
 	at, err := s.serve(func(ctx *fasthttp.RequestCtx) { stand.Worker(s.endpointAt(i))(ctx) })
 	if err != nil {
@@ -200,6 +204,7 @@
 	}
 	v := &vm{n: i, callerAddr: at[0], storeProxy: storeProxy, settingsPath: filepath.Join(s.Dir, fmt.Sprintf("vm-%d.json", i)), settings: map[string]any{
 		"name": fmt.Sprint("vm-", i), "domain": s.domain(i), "caller": at[0], "ready": at[1], "mesh": at[2], "metrics": at[3], "store": storeProxy.listener.Addr().String(),
+		"speeds": true,
 	}}
 	if err = v.write(v.settings); err != nil {
 		return nil, err
