Owner: tasks pass one that waits for a faster endpoint

A task that would miss its objective on the slow endpoints with room waits for a faster one. dispatch took that for a lack of room and skipped all later tasks of the same need in the pass, so that slow endpoints stayed idle although those tasks were in time there. It now goes on to them. Such a task also waited for endpoints that were ejected or cordoned.

Measured: the two new tests fail without the change (0 starts instead of 1 each) and pass with it.

--- a/internal/task/owner/dispatch.go
+++ b/internal/task/owner/dispatch.go
@@ -32,7 +32,7 @@
 			if c := e.Steps[i].Need.Cores; minUnfit > 0 && c >= minUnfit {
 				continue
 			}
-			if !sc.startStep(now, e, i) && unconstrained(&e.Steps[i]) {
+			if !sc.startStep(now, e, i) && unconstrained(&e.Steps[i]) && !sc.avoidsRoom(now, e, &e.Steps[i]) {
 				minUnfit = e.Steps[i].Need.Cores
 			}
 		}
--- a/internal/task/owner/speeds.go
+++ b/internal/task/owner/speeds.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"dahliawinch/internal/task/batch"
@@ -212,13 +213,22 @@
 		return false
 	}
 	for _, o := range sc.order {
-		if o.speed > s.speed && o.on(work)+roomWait <= left && !o.lost && !o.handingOver && o.Open() && !sc.isSlow(o) && st.Need.Fits(o.Size) && matches(o, st, e.Pool) {
+		if o.speed > s.speed && o.on(work)+roomWait <= left && !o.lost && !o.handingOver && o.Open() && !sc.isSlow(o) && st.Need.Fits(o.Size) && matches(o, st, e.Pool) &&
+			sc.maxRuns(now, o) > 0 && sc.cordonAdmits(now, o, e) {
 			return true
 		}
 	}
 	return false
 }
 
+// avoidsRoom reports whether a task fits into room that is free, but only on endpoints that are too slow for it. Tasks
+// behind it in the queue may be in time there.
+func (sc *Scheduler) avoidsRoom(now time.Time, e *entry, st *batch.Step) bool {
+	return slices.ContainsFunc(sc.order, func(s *endpoint) bool {
+		return st.Need.Fits(s.Free()) && matches(s, st, e.Pool) && sc.tooSlow(now, e, st, s)
+	})
+}
+
 // roomWait is how long it takes until a place on a faster endpoint of a full pool comes free: of 32 endpoints with two
 // places each, a third of them fast, one ends a run of 200 ms every 10 ms.
 const roomWait = 10 * time.Millisecond
--- a/internal/task/owner/speeds_test.go
+++ b/internal/task/owner/speeds_test.go
@@ -179,3 +179,44 @@
 	sc.recordRun(t0, s, s.on(100*time.Millisecond), 100*time.Millisecond)
 	is.True(!sc.isSlow(s))
 }
+
+// Guards against idle slow endpoints: a task that waits for a faster one must not hold back those behind it in the
+// queue that are in time on a slow one.
+func TestTasksPassOneThatWaitsForAFasterEndpoint(t *testing.T) {
+	is := is.New(t)
+	sc := newMixed(16, 0.4, 0.4, 1, 1, 1, 1)
+	work := 600 * time.Millisecond
+	for n := range uint64(4) {
+		sc.Submit(t0, key(n), newJob(fmt.Sprint("fill", n), 0, tasks(2, 8, work)))
+	}
+	sc.TakeActions()
+	sc.Submit(t0, key(10), newJob("waits", 0, tasks(1, 8, work)))
+	is.Equal(len(sc.TakeActions().Starts), 0)
+	short := newJob("short", 0, tasks(1, 8, 60*time.Millisecond))
+	short.Slack = 2 * time.Second // its objective is the later one
+	sc.Submit(t0, key(11), short)
+	starts := sc.TakeActions().Starts
+	is.Equal(len(starts), 1)
+	is.True(sc.speedOf(starts[0].At.ID) < 0.8)
+}
+
+// Guards against a task that waits for a faster endpoint on which its health allows no run.
+func TestTaskDoesNotWaitForAnEjectedEndpoint(t *testing.T) {
+	is := is.New(t)
+	sc := newMixed(16, 0.5, 0.5, 0.5, 0.5, 0.5, 1)
+	for _, s := range sc.order[:5] {
+		s.speed = 0.7
+	}
+	fast := sc.endpoints["ep-05"]
+	fast.fullUntil = t0.Add(10 * time.Millisecond)
+	j := newJob("j1", 0, tasks(1, 8, 450*time.Millisecond)) // 643 ms on the others, 555 ms until the objective
+	j.Stretch = 1.1
+	sc.Submit(t0, key(1), j)
+	is.Equal(len(sc.TakeActions().Starts), 0)
+	for range 20 {
+		sc.health.Record(t0, health.Report{Addr: fast.Addr, Kind: "p/q", End: health.Silent})
+	}
+	is.Equal(sc.maxRuns(t0, fast), 0)
+	sc.Tick(t0.Add(time.Millisecond))
+	is.Equal(len(sc.TakeActions().Starts), 1)
+}
