Owner: an endpoint that restarts under its ID begins anew

Removing an endpoint keeps its estimate like one of a peer, and adding it again took that estimate, so a new process started with the factor of the former one instead of the mean of its kind. Forget drops it.

--- a/internal/task/owner/events.go
+++ b/internal/task/owner/events.go
@@ -120,8 +120,7 @@
 	ended, orphans := ep.ApplyReport(now, sent, r)
 	if restarts {
 		sc.cfg.Log.Info("endpoint restarted under its ID", "endpoint", ep.ID, "born", r.Born, "runs_lost", len(ended), "runs", len(ep.Runs))
-		sc.removeSpeed(ep.ID) // a new process may run on other hardware
-		sc.addSpeed(s)
+		sc.resetSpeed(s)
 		sc.recordLostRuns(now, s, ended)
 	}
 	if !known && ep.Synced && ep.TakenOver {
--- a/internal/task/owner/speeds.go
+++ b/internal/task/owner/speeds.go
@@ -62,6 +62,14 @@
 	}
 }
 
+// resetSpeed begins the estimate of an endpoint anew: a new process under the same ID may run on other hardware.
+func (sc *Scheduler) resetSpeed(s *endpoint) {
+	if sc.speeds != nil {
+		sc.speeds.Forget(s.ID)
+	}
+	sc.addSpeed(s)
+}
+
 // setSpeed reads an endpoint's factor and logs larger changes.
 func (sc *Scheduler) setSpeed(s *endpoint, source string) {
 	s.speed = sc.speeds.Factor(s.ID)
--- a/internal/task/owner/speeds_test.go
+++ b/internal/task/owner/speeds_test.go
@@ -220,3 +220,15 @@
 	sc.Tick(t0.Add(time.Millisecond))
 	is.Equal(len(sc.TakeActions().Starts), 1)
 }
+
+// Guards against the factor of a former process being used for the new one under its ID, which may run on other
+// hardware.
+func TestRestartedEndpointBeginsAnew(t *testing.T) {
+	is := is.New(t)
+	sc := newMixed(16, 0.7, 0.7, 1.7)
+	s := sc.endpoints["ep-02"]
+	is.True(s.speed > 1.5)
+	sc.Renewed(t0, t0, s.Endpoint, lease.Report{Clock: 1000, Born: 5})
+	sc.Renewed(t0.Add(time.Second), t0.Add(time.Second), s.Endpoint, lease.Report{Clock: 2000, Born: 9})
+	is.Equal(s.speed, 1.0)
+}
--- a/internal/task/speed/tracker.go
+++ b/internal/task/speed/tracker.go
@@ -86,6 +86,12 @@
 	t.updateMean()
 }
 
+// Forget stops tracking an endpoint and drops its estimate.
+func (t *Tracker) Forget(id string) {
+	delete(t.endpoints, id)
+	t.updateMean()
+}
+
 // kindMean returns the mean logarithm of the factors of a kind, drawn towards 0 if few of its endpoints are known.
 func (t *Tracker) kindMean(kind string) float64 {
 	sum, n := 0.0, 0.0
