Speed: endpoints without runs keep their factor when the mean moves

The estimate of an endpoint is against the declared run times and its factor against the mean of all endpoints. An endpoint that had not run anything kept its estimate while the mean followed the others, and its factor drifted.

--- a/internal/task/speed/tracker.go
+++ b/internal/task/speed/tracker.go
@@ -128,8 +128,15 @@
 			n++
 		}
 	}
-	if n > 0 {
-		t.mean = sum / float64(n)
+	if n == 0 {
+		return
+	}
+	change := sum/float64(n) - t.mean
+	t.mean += change
+	for _, s := range t.endpoints {
+		if s.runs == 0 { // its factor is known, not its speed against the declared run times
+			s.log += change
+		}
 	}
 }
 
--- a/internal/task/speed/tracker_test.go
+++ b/internal/task/speed/tracker_test.go
@@ -184,6 +184,21 @@
 	tr.Merge(t0, []byte{1, 2, 3}) // an entry that was cut off is no entry
 }
 
+// Guards against endpoints without runs that look slow once the others have run: declared run times that are too long by
+// half say nothing about them.
+func TestEndpointWithoutRunsKeepsItsFactor(t *testing.T) {
+	is := is.New(t)
+	tr := New()
+	tr.remember(hash(id(2)), heard{log: math.Log(1.5), at: t0})
+	add(tr, 3)
+	for range 30 {
+		tr.Record(t0, id(0), 100*time.Millisecond, 200*time.Millisecond)
+	}
+	is.Equal(tr.Factor(id(0)), 1.0)
+	is.Equal(tr.Factor(id(1)), 1.0)
+	is.True(math.Abs(tr.Factor(id(2))-1.5) < 0.01)
+}
+
 func ExampleTracker() {
 	tr := New()
 	for _, name := range []string{"a", "b", "c"} {
