Owner: the runs of an endpoint correct a factor that is not its own

An endpoint that is slow against its factor is taken for faulty, and its runs don't move the factor. If the factor is a peer's and 2.5 times too high, the endpoint counted as faulty for ever. Its first 20 runs now always count.

--- a/internal/task/owner/speeds.go
+++ b/internal/task/owner/speeds.go
@@ -14,6 +14,9 @@
 	// slowStreak is how many runs in a row must show that an endpoint has become slow. Of 100 tasks 3 take 7 times as
 	// long as the others, so two in a row are seen every second at 1,000 starts a second, three once in half a minute.
 	slowStreak = 3
+	// minOwnRuns is the number of runs from which a factor counts as an endpoint's own rather than as that of its kind or
+	// of a peer. If such a factor is 2.5 times too high, the endpoint looks faulty, and its runs must correct it.
+	minOwnRuns = 20
 	// speedLogChange is the relative change of an endpoint's factor that is logged.
 	speedLogChange = 0.2
 	// tightUse is the part of the time until a job's objective that a task may run on an endpoint, as far as there is a
@@ -87,9 +90,9 @@
 func round2(x float64) float64 { return math.Round(100*x) / 100 }
 
 // recordSpeed updates an endpoint's estimate with a run that took, or will take, the given time. An endpoint that
-// is slow against its own factor is faulty and says nothing about its usual speed.
+// is slow against its own factor is faulty and says nothing about its usual speed, unless the factor may be wrong.
 func (sc *Scheduler) recordSpeed(now time.Time, s *endpoint, ran, usual time.Duration) {
-	if sc.speeds == nil || sc.isSlow(s) {
+	if sc.speeds == nil || (sc.isSlow(s) && sc.speeds.Runs(s.ID) >= minOwnRuns) {
 		return
 	}
 	sc.speeds.Record(now, s.ID, ran, usual)
--- a/internal/task/owner/speeds_test.go
+++ b/internal/task/owner/speeds_test.go
@@ -232,3 +232,19 @@
 	sc.Renewed(t0.Add(time.Second), t0.Add(time.Second), s.Endpoint, lease.Report{Clock: 2000, Born: 9})
 	is.Equal(s.speed, 1.0)
 }
+
+// Guards against a healthy endpoint that counts as faulty for ever, because a peer's factor for it is far too high and
+// the runs that show this are ignored.
+func TestWrongFactorOfAPeerIsNotTakenForAFault(t *testing.T) {
+	is := is.New(t)
+	sc := newMixed(16, 0.9, 1, 1, 1, 1.1)
+	sc.MergeSpeeds(t0, newMixed(16, 1, 1, 1, 1, 1, 1, 1, 1, 2.5).Speeds(t0))
+	sc.Own(lease.Info{ID: "ep-08", Addr: netipAddr(8), Pool: "p", Size: job.Size{Cores: 16, Memory: 64}}, 8)
+	s := sc.endpoints["ep-08"]
+	is.True(s.speed > 2)
+	for range minOwnRuns {
+		sc.recordRun(t0, s, 180*time.Millisecond, 100*time.Millisecond)
+	}
+	is.True(s.speed < 1.2)
+	is.True(!sc.isSlow(s))
+}
