Owner: a moved run starts on a fast endpoint

A run may be moved after its job's objective has passed, if the objective by its own work can still be met. The choice of its next endpoint then left speed out of account, so that it could start on a slow one, even the same.

Measured: the new test restarts on an endpoint of 0.45 without the change, on one of 2.2 with it.

--- a/internal/task/owner/dispatch.go
+++ b/internal/task/owner/dispatch.go
@@ -98,7 +98,7 @@
 	retry := e.steps[t.Step].failures[t.Index] > 0 && sc.hasGoodEndpoint(e, st)
 	use := 0.0
 	if sc.speeds != nil {
-		use = sc.use(now, e, sc.expect(e.Job, st))
+		use = sc.useToPick(now, e, st)
 	}
 	for _, s := range sc.order {
 		if retry && (s.lastRunFailed() || sc.awaitsSuccess(now, e, s, t)) {
--- a/internal/task/owner/speeds.go
+++ b/internal/task/owner/speeds.go
@@ -186,6 +186,16 @@
 	return float64(work) / float64(left)
 }
 
+// useToPick is use for the choice of an endpoint. A run is moved only because a fast endpoint ends it in time, so after a
+// move speed counts even if the job's own objective has passed.
+func (sc *Scheduler) useToPick(now time.Time, e *entry, st *batch.Step) float64 {
+	use := sc.use(now, e, sc.expect(e.Job, st))
+	if e.moves > 0 && math.IsInf(use, 1) {
+		return 1
+	}
+	return use
+}
+
 // speedCost returns what it costs, in whole endpoints, to start a task on an endpoint because of its speed: a lot
 // if the objective would be missed, else little, and less than nothing for the slow ones if the task can afford them.
 //
--- a/internal/task/owner/speeds_test.go
+++ b/internal/task/owner/speeds_test.go
@@ -248,3 +248,41 @@
 	is.True(s.speed < 1.2)
 	is.True(!sc.isSlow(s))
 }
+
+// Guards against a run that is moved to another slow endpoint: it is stopped only because the fast one could end it in
+// time, so it starts there, also when the job's own objective has passed.
+func TestMovedRunStartsOnTheFastEndpoint(t *testing.T) {
+	is := is.New(t)
+	sc := newMixed(16, 0.4, 0.4, 2, 2) // 0.45 and 2.2 times the mean
+	for _, s := range sc.order[2:] {
+		s.fullUntil = t0.Add(560 * time.Millisecond)
+	}
+	sc.Submit(t0, key(1), newJob("j1", 0, tasks(1, 8, 200*time.Millisecond)))
+	at := time.Duration(0)
+	step := func() Actions {
+		at += 10 * time.Millisecond
+		sc.Keepalive(t0.Add(at), key(1), t0.Add(at))
+		sc.Tick(t0.Add(at))
+		return sc.TakeActions()
+	}
+	var starts []Start
+	for len(starts) == 0 && at < 500*time.Millisecond {
+		starts = step().Starts
+	}
+	is.Equal(len(starts), 1)
+	run, since := starts[0], at
+	begin(sc, t0.Add(at), starts)
+	is.True(sc.speedOf(run.At.ID) < 1)
+	var stops []Stop
+	for len(stops) == 0 && at < 900*time.Millisecond {
+		stops = step().Stops
+		list(sc, t0.Add(at), run.At.ID, int(100*(at-since)/(1200*time.Millisecond))) // three times as long as expected
+		stops = append(stops, sc.TakeActions().Stops...)
+	}
+	is.Equal(len(stops), 1)
+	sc.Stopped(t0.Add(at), run.At, lease.RunID{Task: run.Run.Name, Num: run.Run.Num})
+	finish(sc, t0.Add(at), run, lease.Gone)
+	again := sc.TakeActions().Starts
+	is.Equal(len(again), 1)
+	is.True(sc.speedOf(again[0].At.ID) > 1)
+}
