Owner: a run between two whole percents is not stuck

Endpoints report whole percents. A run of 50 s shows none for 0.5 s and was stopped as stuck after 0.4 s, again and again. The limit is now also 8 % of the expected time, which is above 0.4 s for tasks of more than 5 s.

Measured: the new test stops the run without the change and leaves it alone with it.

--- a/internal/task/owner/review.go
+++ b/internal/task/owner/review.go
@@ -122,7 +122,7 @@
 
 func (sc *Scheduler) stuck(now time.Time, e *entry, r *lease.Run) bool {
 	if sc.speeds != nil && !e.Steps[r.Step].Gang {
-		return sc.stalled(r)
+		return sc.stalled(e, r)
 	}
 	limit := max(minStuckTime, stuckFactor*sc.expect(e.Job, &e.Steps[r.Step]))
 	return now.Sub(r.SentAt) > limit && r.Percent < 50
--- a/internal/task/owner/speeds.go
+++ b/internal/task/owner/speeds.go
@@ -292,9 +292,14 @@
 }
 
 // stalled reports whether a run makes no progress, as its endpoint's reports show.
-func (sc *Scheduler) stalled(r *lease.Run) bool {
-	return r.Percent < almostDone && r.LastSeen.Sub(r.Advanced) > minStuckTime
+func (sc *Scheduler) stalled(e *entry, r *lease.Run) bool {
+	limit := max(minStuckTime, time.Duration(stallPart*float64(sc.expect(e.Job, &e.Steps[r.Step]))))
+	return r.Percent < almostDone && r.LastSeen.Sub(r.Advanced) > limit
 }
 
+// stallPart is the part of its expected time that a run may take without progress. Endpoints report whole percents, and
+// 3 of 100 tasks take 7 times as long as expected.
+const stallPart = 0.08
+
 // almostDone is the progress from which an end may be listed before any further progress.
 const almostDone = 99
--- a/internal/task/owner/speeds_test.go
+++ b/internal/task/owner/speeds_test.go
@@ -249,6 +249,24 @@
 	is.True(!sc.isSlow(s))
 }
 
+// Guards against long runs that are stopped as stuck between two whole percents of progress: at 50 s, each takes 0.5 s.
+func TestLongRunIsNotStuckBetweenPercents(t *testing.T) {
+	is := is.New(t)
+	sc := newMixed(16, 1, 1, 1)
+	const work = 50 * time.Second
+	j := newJob("j1", 0, tasks(1, 8, work))
+	j.TimeLeft = 2 * work
+	sc.Submit(t0, key(1), j)
+	s := sc.TakeActions().Starts[0]
+	begin(sc, t0, []Start{s})
+	for at := 50 * time.Millisecond; at < 5*time.Second; at += 50 * time.Millisecond {
+		list(sc, t0.Add(at), s.At.ID, int(100*at/work))
+		sc.Keepalive(t0.Add(at), key(1), t0.Add(at))
+		sc.Tick(t0.Add(at))
+		is.Equal(len(sc.TakeActions().Stops), 0)
+	}
+}
+
 // Guards against a run that is moved to another slow endpoint: it is stopped only because the fast one could end it in
 // time, so it starts there, also when the job's own objective has passed.
 func TestMovedRunStartsOnTheFastEndpoint(t *testing.T) {
