Serve: two senders of speeds also if the VM that starts ranks first

The VM that has started was counted among those that precede a sender, so that only one sent what it knows if the new one ranked first or second. The commit also formats a line of the soak test.

Not measured: no test of this choice; the tests of internal/edge/serve pass.

--- a/internal/edge/serve/speeds.go
+++ b/internal/edge/serve/speeds.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"dahliawinch/internal/mesh/frame"
+	"dahliawinch/internal/mesh/view"
 )
 
 const (
@@ -35,7 +36,11 @@
 // speedsFor returns all known estimates for a VM of this failure domain that has just started; the caller holds the
 // lock. Without them it would take its endpoints for usual ones until it has measured them itself.
 func (d *Node) speedsFor(now time.Time, vm netip.AddrPort) []byte {
-	if p := d.view.Find(vm); !d.cfg.Options.Speeds || p == nil || p.Domain != d.cfg.Domain || d.readerRank() >= speedSenders {
+	if p := d.view.Find(vm); !d.cfg.Options.Speeds || p == nil || p.Domain != d.cfg.Domain {
+		return nil
+	}
+	// The VM that has started doesn't count, or one sender would be missing if it precedes the others.
+	if d.rankAmong(func(m *view.Member) bool { return m.State == view.Alive && m.VM != vm }) >= speedSenders {
 		return nil
 	}
 	all := d.scheduler.Speeds(now)
--- a/internal/tool/soak/event.go
+++ b/internal/tool/soak/event.go
@@ -146,7 +146,7 @@
 		s.replaced++
 		in.ID = fmt.Sprintf("ep-%02d-%d", i, s.replaced)
 		e := fakes.NewLeased(in, limits, s.judge, time.Duration(i)*time.Second, s.Seed+uint64(100+s.replaced))
-	e.Speed = speeds[i%len(speeds)]
+		e.Speed = speeds[i%len(speeds)]
 		e.Crashed = func() { s.replace(i, e) }
 		s.endpoints[i] = e
 		s.mu.Unlock()
