Owner: runs a part of a job's tasks

Cause: the tasks of one job may run at several owners. Change: batch.Job has First and Of for a part, and Begun if other parts may have begun. Owners map task indices to the slots of their part, so that names and run numbers at endpoints stay those of the whole job. A part is never resumed for another submission of its job, and an ended part is remembered for Outlive, since other parts may run at owners that this one does not know.

--- a/internal/task/batch/batch.go
+++ b/internal/task/batch/batch.go
@@ -40,6 +40,24 @@
 	// of the VM that runs it; zero at the sending VM.
 	AskedAt time.Time `msgpack:"z,omitempty"`
 	Steps   []Step    `msgpack:"t"`
+	// Of is the number of tasks of the whole job if this is a part of one, else 0. Its only step has the part's Count
+	// tasks, and First is the index of the first of them in the job.
+	Of    int `msgpack:"u,omitempty"`
+	First int `msgpack:"o,omitempty"`
+	// Begun says that other parts of the job may have begun, so that refusing this one wastes their work.
+	Begun bool `msgpack:"b,omitempty"`
+}
+
+// Part reports whether this is a part of a job, whose other tasks are at other owners.
+func (j *Job) Part() bool { return j.Of > 0 }
+
+// Range returns the part of a job of one step that has count tasks from the index first on.
+func (j *Job) Range(first, count int) Job {
+	p := *j
+	p.Of, p.First = j.Tasks(), first
+	p.Steps = slices.Clone(j.Steps)
+	p.Steps[0].Count = count
+	return p
 }
 
 // HashID returns the hash by which VMs name a job to each other in heartbeats.
@@ -47,7 +65,7 @@
 
 // SameWork reports whether two submissions ask for the same tasks.
 func (j *Job) SameWork(o *Job) bool {
-	return j.Spec == o.Spec && slices.EqualFunc(j.Steps, o.Steps, sameStep)
+	return j.Spec == o.Spec && j.Of == o.Of && j.First == o.First && slices.EqualFunc(j.Steps, o.Steps, sameStep)
 }
 
 func sameStep(a, b Step) bool {
--- a/internal/task/owner/crash.go
+++ b/internal/task/owner/crash.go
@@ -99,7 +99,7 @@
 	sc.suspicions = append(sc.suspicions, suspicion{now, Suspect{name, sc.suspects[name]}})
 	sc.cfg.Log.Info("task suspected", "job", p.run.Task.Job, "task", name, "run", p.run.Num, "lost", sc.suspects[name], "with_job", o.withJob, "lost_together", o.lost, "other_tasks", p.otherTasks)
 	e := p.run.Job.(*entry)
-	if sc.suspects[name] >= maxTaskLosses && !e.answered && slices.Contains(e.steps[p.run.Task.Step].waiting, p.run.Task.Index) {
+	if sc.suspects[name] >= maxTaskLosses && !e.answered && slices.Contains(e.steps[p.run.Task.Step].waiting, e.slot(p.run.Task)) {
 		sc.giveUp(now, e, name)
 	}
 }
@@ -181,9 +181,9 @@
 	case sc.suspects[r.Name] >= maxTaskLosses:
 		sc.giveUp(now, e, r.Name)
 	case sc.isSuspect(r.Name):
-		st.waiting = slices.Insert(st.waiting, 0, r.Task.Index)
+		st.waiting = slices.Insert(st.waiting, 0, e.slot(r.Task))
 	default:
-		st.waiting = append(st.waiting, r.Task.Index)
+		st.waiting = append(st.waiting, e.slot(r.Task))
 	}
 }
 
--- a/internal/task/owner/dispatch.go
+++ b/internal/task/owner/dispatch.go
@@ -54,10 +54,10 @@
 	for len(st.waiting) > 0 {
 		last := len(st.waiting) - 1
 		k := st.waiting[last]
-		if len(sc.pending) > 0 && sc.awaitsVerdict(batch.Task{Job: e.ID, Step: i, Index: k}.String()) {
+		if len(sc.pending) > 0 && sc.awaitsVerdict(e.task(i, k).String()) {
 			return true // those before it in the list are suspected as well
 		}
-		s := sc.pick(now, e, &e.Steps[i], batch.Task{Job: e.ID, Step: i, Index: k})
+		s := sc.pick(now, e, &e.Steps[i], e.task(i, k))
 		if s == nil {
 			return false
 		}
@@ -73,7 +73,7 @@
 		st.runNums[k] = sc.runNums[e.ID]
 	}
 	st.runNums[k]++
-	r := s.Start(now, batch.Task{Job: e.ID, Step: i, Index: k}, st.runNums[k], e.Steps[i].Need)
+	r := s.Start(now, e.task(i, k), st.runNums[k], e.Steps[i].Need)
 	r.Job = e
 	s.lastStart = now
 	e.runs[r] = s.Endpoint
@@ -94,7 +94,7 @@
 	if sc.anySuspects() {
 		name = t.String()
 	}
-	retry := e.steps[t.Step].failures[t.Index] > 0 && sc.hasGoodEndpoint(e, st)
+	retry := e.steps[t.Step].failures[e.slot(t)] > 0 && sc.hasGoodEndpoint(e, st)
 	for _, s := range sc.order {
 		if retry && (s.lastRunFailed() || sc.awaitsSuccess(now, e, s, t)) {
 			continue
@@ -141,9 +141,9 @@
 
 // awaitsSuccess reports whether a task's last attempt should not be made on an endpoint yet.
 func (sc *Scheduler) awaitsSuccess(now time.Time, e *entry, s *endpoint, t batch.Task) bool {
-	st := &e.steps[t.Step]
-	since := st.firstFailed[t.Index]
-	return st.failures[t.Index] >= e.Attempts-1 && !s.lastSuccess.After(since) && now.Sub(since) < successWait
+	st, k := &e.steps[t.Step], e.slot(t)
+	since := st.firstFailed[k]
+	return st.failures[k] >= e.Attempts-1 && !s.lastSuccess.After(since) && now.Sub(since) < successWait
 }
 
 func (sc *Scheduler) usable(now time.Time, s *endpoint, e *entry, st *batch.Step) bool {
--- a/internal/task/owner/events.go
+++ b/internal/task/owner/events.go
@@ -52,7 +52,7 @@
 		s.fullUntil = now.Add(fullPause)
 	case agent.Superseded:
 		st := &e.steps[r.Task.Step]
-		st.runNums[r.Task.Index] += runNumSkip
+		st.runNums[e.slot(r.Task)] += runNumSkip
 	case agent.Unhealthy:
 		sc.reportHealth(now, health.Report{Addr: ep.Addr, End: health.Unreachable}, ep.ID)
 	case agent.Fenced, agent.WrongInstance, agent.Invalid:
@@ -186,15 +186,16 @@
 			return
 		}
 	case lease.Failed:
-		if st.failures[r.Task.Index] == 0 {
-			st.firstFailed[r.Task.Index] = now
+		k := e.slot(r.Task)
+		if st.failures[k] == 0 {
+			st.firstFailed[k] = now
 		}
-		st.failures[r.Task.Index]++
-		if st.failures[r.Task.Index] >= max(1, e.Attempts) {
+		st.failures[k]++
+		if st.failures[k] >= max(1, e.Attempts) {
 			sc.finish(now, e, job.Answer{Outcome: job.Failed, Reason: job.TaskFailed, Detail: r.Name + " failed too often"})
 			return
 		}
-		st.waiting = append(st.waiting, r.Task.Index)
+		st.waiting = append(st.waiting, k)
 	default:
 		sc.requeue(now, e, r)
 	}
--- a/internal/task/owner/job.go
+++ b/internal/task/owner/job.go
@@ -50,7 +50,7 @@
 func (e *entry) expired(now time.Time) bool { return now.Sub(e.keepalive) >= e.limits.Expiry() }
 
 type step struct {
-	waiting     []int // indexes of the tasks to start, the last one first
+	waiting     []int // slots of the tasks to start, the last one first
 	done        int
 	failures    []int
 	firstFailed []time.Time // when each task first failed
@@ -84,6 +84,15 @@
 	return e
 }
 
+// task identifies a task by its step and its index in the entry's slices, which hold only the tasks of this part if the
+// entry is a part of a job.
+func (e *entry) task(i, k int) batch.Task {
+	return batch.Task{Job: e.ID, Step: i, Index: e.First + k}
+}
+
+// slot returns the index of a task in the entry's slices.
+func (e *entry) slot(t batch.Task) int { return t.Index - e.First }
+
 // ready reports whether the steps that a step depends on are done.
 func (e *entry) ready(i int) bool {
 	for _, k := range e.Steps[i].After {
--- a/internal/task/owner/review.go
+++ b/internal/task/owner/review.go
@@ -89,6 +89,7 @@
 	switch {
 	case !sc.placeable(e.Job): // another owner may run it
 		sc.finish(now, e, job.Answer{Outcome: job.Refused, Reason: job.NoEndpoint, Detail: sc.noEndpointDetail()})
+	case e.Begun: // other parts of the job have begun; its deadline ends it
 	case sc.lateWaitBudget(e, now) < 0:
 		sc.finish(now, e, job.Answer{Outcome: job.Refused, Reason: job.Overload, Retry: sc.waitBudget(e, e.arrived), Detail: "no room came free in time"})
 	case (e.late || sc.waitBudget(e, now) < 0) && sc.overloaded(now):
--- a/internal/task/owner/scheduler.go
+++ b/internal/task/owner/scheduler.go
@@ -94,6 +94,7 @@
 	learn        learn.Estimator
 	runNums      map[string]int // highest run numbers of jobs that ended lately, by job ID
 	runNumsReset time.Time
+	endedParts   map[string]time.Time // by job ID, until when its other parts may go on
 	inflow       [rankCount]workRate
 	needs        needStats
 	actions      Actions
@@ -115,7 +116,7 @@
 func New(cfg Config) *Scheduler {
 	return &Scheduler{
 		cfg: cfg, endpoints: map[string]*endpoint{}, jobs: map[Key]*entry{}, byID: map[string]*entry{},
-		health: health.New(health.SteadyGain), runNums: map[string]int{}, cordons: map[string]time.Time{},
+		health: health.New(health.SteadyGain), runNums: map[string]int{}, endedParts: map[string]time.Time{}, cordons: map[string]time.Time{},
 		suspects: map[string]int{}, exemptions: map[string]exemption{}, pending: map[string]int{}, suspectedAt: map[string]time.Time{}, losses: map[string]loss{},
 	}
 }
@@ -190,6 +191,7 @@
 	if now.After(e.ended) {
 		sc.reportOutlived(now, e)
 	}
+	sc.noteEndedPart(now, e)
 	delete(sc.jobs, e.key)
 	if sc.byID[e.ID] == e {
 		delete(sc.byID, e.ID)
--- a/internal/task/owner/submit.go
+++ b/internal/task/owner/submit.go
@@ -12,7 +12,8 @@
 // Submit accepts a job or refuses it at once: a caller that is refused early can go to another VM, and
 // work that can't be done in time would delay work that can.
 func (sc *Scheduler) Submit(now time.Time, key Key, j *batch.Job) {
-	if old := sc.byID[j.ID]; old != nil {
+	old := sc.byID[j.ID]
+	if old != nil {
 		if old.canResume(j) {
 			sc.resume(now, old, key, j)
 			return
@@ -20,12 +21,15 @@
 		if !old.answered {
 			sc.finish(now, old, job.Answer{Outcome: job.Unknown, Reason: job.StillRuns, Detail: "the same job was submitted again"})
 		}
-		if len(old.runs) > 0 {
+		if len(old.runs) > 0 && !old.Part() {
 			sc.cfg.Log.Info("job still runs", "job", j.ID, "by", key.VM, "runs", len(old.runs), "since_keepalive", now.Sub(old.keepalive).Round(time.Millisecond))
 			sc.actions.Replies = append(sc.actions.Replies, Reply{key, job.Answer{Outcome: job.Unknown, Reason: job.StillRuns, Retry: sc.stopBound(now, old), Detail: "a run of the same job is being stopped"}})
 			return
 		}
 	}
+	if sc.rejectBesideParts(now, old, key, j) {
+		return
+	}
 	if task := sc.crashingTask(j.ID); task != "" {
 		sc.cfg.Log.Info("job given up", "job", j.ID, "by", key.VM, "task", task, "lost", sc.suspects[task])
 		sc.actions.Replies = append(sc.actions.Replies, Reply{key, job.Answer{Outcome: job.Unknown, Reason: job.Silent, Detail: task + " was running when three endpoints were lost; it is not started again"}})
@@ -38,6 +42,10 @@
 	e := newEntry(now, key, j, sc.chain(j), sc.cfg.Limits)
 	sc.recordArrival(now, e)
 	wait := sc.forecast(now, e)
+	if j.Begun {
+		sc.accept(now, e, wait)
+		return
+	}
 	if late := wait - sc.waitBudget(e, now); late > 0 && wait > 0 {
 		e.late = true
 		wait = sc.forecast(now, e)
@@ -50,9 +58,13 @@
 		sc.refuse(now, key, j, job.Overload, late, "it would wait "+wait.Round(time.Millisecond).String()+", too long by "+late.Round(time.Millisecond).String())
 		return
 	}
-	sc.cfg.Log.Info("job accepted", "job", j.ID, "by", key.VM, "queue", j.Queue, "rank", j.Rank, "tasks", j.Tasks(), "cores", j.Steps[0].Need.Cores, "work", sc.chain(j), "wait", wait, "late", e.late, "left", j.TimeLeft, "waited", j.Waited)
-	sc.jobs[key] = e
-	sc.byID[j.ID] = e
+	sc.accept(now, e, wait)
+}
+
+func (sc *Scheduler) accept(now time.Time, e *entry, wait time.Duration) {
+	sc.cfg.Log.Info("job accepted", "job", e.ID, "by", e.key.VM, "queue", e.Queue, "rank", e.Rank, "tasks", e.Tasks(), "cores", e.Steps[0].Need.Cores, "work", sc.chain(e.Job), "wait", wait, "late", e.late, "left", e.TimeLeft, "waited", e.Waited)
+	sc.jobs[e.key] = e
+	sc.byID[e.ID] = e
 	sc.enqueue(e)
 	sc.dispatch(now)
 }
