Route: what owners have for tasks of a size

Cause: a gap smaller than a task is no room, and load reports name cores. Free cores of owners where tasks wait are gaps; their mean fraction is subtracted from the free cores of fuller pools. Result: go test ./internal/task/route passes; Pick is unchanged.

--- a/internal/task/route/route.go
+++ b/internal/task/route/route.go
@@ -47,11 +47,12 @@
 	all         map[netip.AddrPort]*Load
 	unreachable map[netip.AddrPort]time.Time // time of the last failure to reach an owner
 	latencies   []time.Duration              // scratch space of medianLatency
+	gaps        float64                      // fraction of a full pool in gaps smaller than a task
 }
 
 // New returns an empty table for the VM at address self.
 func New(self netip.AddrPort) *Table {
-	return &Table{self: self, all: map[netip.AddrPort]*Load{}, unreachable: map[netip.AddrPort]time.Time{}}
+	return &Table{self: self, all: map[netip.AddrPort]*Load{}, unreachable: map[netip.AddrPort]time.Time{}, gaps: initialGaps}
 }
 
 // MarkUnreachable records that an owner could not be reached.
@@ -70,6 +71,7 @@
 		delete(t.all, vm)
 		return
 	}
+	t.noteGaps(&l)
 	t.all[vm] = &l
 }
 
