Mesh: heartbeats declare that their sender runs parts of jobs

Change: Heartbeat.Parts; View.FindJob leaves out VMs that are known to have other parts; counters of split jobs and of answered parts.

--- a/internal/base/meter/meter.go
+++ b/internal/base/meter/meter.go
@@ -58,6 +58,8 @@
 	outlived prometheus.Histogram
 	outcomes *prometheus.CounterVec
 	control  *prometheus.CounterVec
+	split    prometheus.Counter
+	parts    *prometheus.CounterVec
 }
 
 // New returns a meter with a registry of its own.
@@ -81,7 +83,9 @@
 	})
 	m.outcomes = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "dahliawinch_jobs_total", Help: "Answered jobs."}, []string{"tenant", "class", "outcome", "reason"})
 	m.control = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "dahliawinch_control_bytes_total", Help: "Bytes between entry VMs by purpose."}, []string{"purpose", "way"})
-	m.Registry.MustRegister(m.outcomes, m.control, m.outlived)
+	m.split = prometheus.NewCounter(prometheus.CounterOpts{Name: "dahliawinch_split_jobs_total", Help: "Jobs whose tasks went to several owners."})
+	m.parts = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "dahliawinch_parts_total", Help: "Answered parts of split jobs."}, []string{"outcome"})
+	m.Registry.MustRegister(m.outcomes, m.control, m.outlived, m.split, m.parts)
 	for _, c := range Causes() {
 		m.Registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
 			Name: "dahliawinch_wasted_total", Help: "Messages that did no work.", ConstLabels: prometheus.Labels{"cause": c.String()},
@@ -113,6 +117,12 @@
 	m.control.WithLabelValues(purpose, way).Add(float64(n))
 }
 
+// AddSplitJob counts a job whose tasks went to several owners.
+func (m *Meter) AddSplitJob() { m.split.Inc() }
+
+// AddPart counts an owner's answer to a part of a split job.
+func (m *Meter) AddPart(outcome job.Outcome) { m.parts.WithLabelValues(outcome.String()).Inc() }
+
 // Gauge registers a gauge; fn is called at each scrape.
 func (m *Meter) Gauge(name, help string, fn func() float64) {
 	m.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "dahliawinch_" + name, Help: help}, fn))
--- a/internal/mesh/frame/msg.go
+++ b/internal/mesh/frame/msg.go
@@ -93,6 +93,8 @@
 	Unheard []string `msgpack:"h,omitempty"`
 	// Load is the sender's load, if it is not sent in messages of its own.
 	Load *Load `msgpack:"y,omitempty"`
+	// Parts says that the sender can run parts of a job.
+	Parts bool `msgpack:"i,omitempty"`
 }
 
 // Suspect is a task that was running on endpoints when they were lost.
--- a/internal/mesh/view/jobs.go
+++ b/internal/mesh/view/jobs.go
@@ -16,11 +16,11 @@
 	Restarted bool      // the job was at an earlier incarnation, whose runs may go on
 }
 
-// FindJob returns the VM that advertised a job at most maxAge ago, and false if there is none. A VM that passes on
+// FindJob returns the VM, other than those in except, that advertised a job at most maxAge ago, and false if there is none. A VM that passes on
 // what an unheard one advertises is returned only if nobody else is known.
-func (v *View) FindJob(now time.Time, hash uint64, maxAge time.Duration) (last Advertiser, ok bool) {
+func (v *View) FindJob(now time.Time, hash uint64, maxAge time.Duration, except ...netip.AddrPort) (last Advertiser, ok bool) {
 	note := func(vm netip.AddrPort, jobs []uint64, heard time.Time, restarted bool) {
-		if now.Sub(heard) <= maxAge && heard.After(last.Heard) && slices.Contains(jobs, hash) {
+		if now.Sub(heard) <= maxAge && heard.After(last.Heard) && slices.Contains(jobs, hash) && !slices.Contains(except, vm) {
 			last, ok = Advertiser{vm, heard, restarted}, true
 		}
 	}
