Serve: sends the parts of a job to several owners

Change: with the setting split, the VM that answers the caller sends each part under its own call number to owners that declare support, keeps the parts alive, moves refused ones, gathers the answers and cancels the rest. It lists the job in its heartbeats like an owner, since it alone knows all parts, and ends it when another VM is asked for it.

--- a/internal/edge/serve/beat.go
+++ b/internal/edge/serve/beat.go
@@ -132,6 +132,7 @@
 	for _, c := range d.scheduler.Cleared(now) {
 		b.Cleared = append(b.Cleared, frame.Cleared(c))
 	}
+	b.Parts = d.cfg.Options.Split
 	b.Jobs, b.Relayed, b.Unheard = d.advertised(now), d.view.RelayedJobs(now), d.view.Unheard()
 	if d.loadInBeat() {
 		l := d.loadFrame(d.load(now))
@@ -148,6 +149,7 @@
 	d.keepLocalJobs(now)
 	d.dropSilent(now)
 	d.endUnreachable()
+	d.settleSplit(now)
 	if now.Sub(d.began) < joinWindow {
 		d.updateClaims(now) // more often than heartbeats: until the first claim all jobs wait
 	}
@@ -230,6 +232,11 @@
 		d.deliverAnswer(&owner.Reply{Key: key, Answer: *job.Refuse(job.Silent, 0, "it came %s after it was sent", age)})
 		return
 	}
+	if d.endSplit(m) {
+		d.deliverAnswer(&owner.Reply{Key: key, Answer: d.mayStillRun(d.cfg.VM)})
+		d.perform()
+		return
+	}
 	if vm, ok := d.runsElsewhere(now, m); ok {
 		d.log.Info("job runs elsewhere", "job", m.Job.ID, "by", from.VM, "owner", vm)
 		d.deliverAnswer(&owner.Reply{Key: key, Answer: d.mayStillRun(vm)})
--- a/internal/edge/serve/keepalive.go
+++ b/internal/edge/serve/keepalive.go
@@ -22,29 +22,47 @@
 	now := d.lock()
 	defer d.mu.Unlock()
 	all := map[netip.AddrPort]*frame.Keepalive{}
-	for n, c := range d.calls {
-		if !c.owner.IsValid() || c.owner == d.cfg.VM || now.Sub(c.handedAt) < d.cfg.Limits.Interval()/2 || c.hasLeft() {
-			continue
+	add := func(n uint64, vm netip.AddrPort, handedAt time.Time) {
+		if !vm.IsValid() || vm == d.cfg.VM || now.Sub(handedAt) < d.cfg.Limits.Interval()/2 {
+			return
 		}
-		m := all[c.owner]
+		m := all[vm]
 		if m == nil {
-			p := d.heardMember(c.owner)
+			p := d.heardMember(vm)
 			if p == nil {
-				continue
+				return
 			}
 			m = &frame.Keepalive{To: p.Inc, Asked: p.Theirs(now)}
-			all[c.owner] = m
+			all[vm] = m
 		}
 		m.Calls = append(m.Calls, n)
 	}
+	for n, c := range d.calls {
+		if c.hasLeft() {
+			continue
+		}
+		add(n, c.owner, c.handedAt)
+		for _, p := range c.wantedParts() {
+			add(p.Call, p.Owner, p.SentAt)
+		}
+	}
 	return all
 }
 
 // keepLocalJobs renews the jobs that this VM owns itself; the caller holds the lock.
 func (d *Node) keepLocalJobs(now time.Time) {
+	keep := func(n uint64, vm netip.AddrPort) {
+		if vm == d.cfg.VM {
+			d.scheduler.Keepalive(now, owner.Key{VM: vm, Inc: d.cfg.Inc, Call: n}, now)
+		}
+	}
 	for n, c := range d.calls {
-		if c.owner == d.cfg.VM && !c.hasLeft() {
-			d.scheduler.Keepalive(now, owner.Key{VM: c.owner, Inc: d.cfg.Inc, Call: n}, now)
+		if c.hasLeft() {
+			continue
+		}
+		keep(n, c.owner)
+		for _, p := range c.wantedParts() {
+			keep(p.Call, p.Owner)
 		}
 	}
 }
--- a/internal/edge/serve/node.go
+++ b/internal/edge/serve/node.go
@@ -107,7 +107,8 @@
 	routes       *route.Table
 	calls        map[uint64]*call
 	byID         map[string]*call
-	parked       []*call // calls that wait until an owner is known
+	partCalls    map[uint64]*call // by the call numbers of its parts
+	parked       []*call          // calls that wait until an owner is known
 	waits        learn.PriorWaits
 	askers       []netip.AddrPort // VMs that asked for a copy of the endpoints before they were known here
 	roster       *roster
@@ -143,7 +144,7 @@
 func NewNode(ctx context.Context, cfg Config, deps Deps) *Node {
 	now := deps.Clock.Now()
 	d := &Node{
-		cfg: cfg, deps: deps, log: deps.Log, began: now, vmsRead: make(chan struct{}), calls: map[uint64]*call{}, byID: map[string]*call{},
+		cfg: cfg, deps: deps, log: deps.Log, began: now, vmsRead: make(chan struct{}), calls: map[uint64]*call{}, byID: map[string]*call{}, partCalls: map[uint64]*call{},
 		roster: newRoster(perOwner(cfg.LinkRate)), missingSince: map[string]time.Time{}, cordons: map[string]bool{}, aliveSince: map[netip.AddrPort]time.Time{},
 		wakes: map[string]chan struct{}{}, routes: route.New(cfg.VM), reached: map[claim.Group]reachedSpan{}, reaching: map[claim.Group]bool{}, lastAnswer: map[claim.Group]time.Time{}, refusals: map[claim.Group]fenceRefusal{},
 		pace: pace.New(minOrderWait, maxOrderWait), hasUnowned: true,
--- a/internal/edge/serve/resubmit.go
+++ b/internal/edge/serve/resubmit.go
@@ -28,18 +28,18 @@
 	if !ok {
 		return nil
 	}
-	return d.scheduler.Advertised(now, age)
+	return append(d.scheduler.Advertised(now, age), d.advertisedSplit(now, age)...)
 }
 
-// findOwner returns the VM that has a job for an earlier submission; the caller holds the lock.
+// findOwner returns the VM, other than those in except, that has a job for an earlier submission; the caller holds the lock.
 //
 // The end of a caller's connection may take seconds to reach the VM that serves it. Until then that VM asks for the job,
 // while the caller submits it again elsewhere.
-func (d *Node) findOwner(now time.Time, id string) (view.Advertiser, bool) {
+func (d *Node) findOwner(now time.Time, id string, except ...netip.AddrPort) (view.Advertiser, bool) {
 	if d.scheduler.Has(id) {
 		return view.Advertiser{VM: d.cfg.VM, Heard: now}, true
 	}
-	return d.view.FindJob(now, batch.HashID(id), d.cfg.Limits.Outlive())
+	return d.view.FindJob(now, batch.HashID(id), d.cfg.Limits.Outlive(), except...)
 }
 
 // assignRunning gives a call to the VM that has its job for an earlier submission, and reports whether there is one; the
@@ -104,6 +104,10 @@
 // runsElsewhere reports whether another owner has a job that was handed over by a VM that does not know so: not all VMs
 // hear each other. The caller holds the lock.
 func (d *Node) runsElsewhere(now time.Time, m *frame.RunJob) (netip.AddrPort, bool) {
-	a, ok := d.findOwner(now, m.Job.ID)
+	var except []netip.AddrPort
+	if m.Job.Part() { // Tried are also the owners of the other parts and the VM that gathers them, which advertise the job
+		except = m.Tried
+	}
+	a, ok := d.findOwner(now, m.Job.ID, except...)
 	return a.VM, ok && a.VM != d.cfg.VM && !slices.Contains(m.Tried, a.VM)
 }
--- a/internal/edge/serve/submit.go
+++ b/internal/edge/serve/submit.go
@@ -14,6 +14,7 @@
 	"dahliawinch/internal/task/batch"
 	"dahliawinch/internal/task/job"
 	"dahliawinch/internal/task/owner"
+	"dahliawinch/internal/task/parts"
 	"dahliawinch/internal/task/route"
 )
 
@@ -45,7 +46,8 @@
 	formerOwner netip.AddrPort // the owner of an earlier call of the same job, whose runs may continue
 	handedAt    time.Time      // when the owner got it
 	tried       []netip.AddrPort
-	open        func() bool // reports whether the caller's connection is open; may be nil
+	parts       *parts.Gather // the parts of the job if it is split; then owner is invalid
+	open        func() bool   // reports whether the caller's connection is open; may be nil
 	done        chan struct{}
 	ended       bool
 	answer      job.Answer
@@ -70,14 +72,22 @@
 	d.log.Info("request", "job", j.ID, "queue", j.Queue, "tasks", j.Tasks(), "left", j.TimeLeft)
 	now = d.lock()
 	d.noteWait(c)
-	if old := d.byID[j.ID]; old != nil {
+	old := d.byID[j.ID]
+	wasSplit := old != nil && old.parts != nil
+	switch {
+	case wasSplit:
+		d.cancelCall(old, d.resubmitted())
+	case old != nil:
 		c.formerOwner = old.owner // which learns that the earlier call is over when it gets this one
-		d.finishCall(old, job.Answer{Outcome: job.Unknown, Reason: job.StillRuns, Detail: "the same job was submitted again"})
+		d.finishCall(old, d.resubmitted())
 	}
 	d.calls[c.n], d.byID[j.ID] = c, c
-	if c.formerOwner.IsValid() {
+	switch {
+	case wasSplit: // its parts are being cancelled at several owners
+		d.finishCall(c, d.mayStillRun(d.cfg.VM))
+	case c.formerOwner.IsValid():
 		d.assignFormer(now, c)
-	} else {
+	default:
 		d.assign(now, c)
 	}
 	d.perform()
@@ -96,6 +106,11 @@
 	return c.answer
 }
 
+// resubmitted returns the answer to a call whose job was submitted again.
+func (d *Node) resubmitted() job.Answer {
+	return job.Answer{Outcome: job.Unknown, Reason: job.StillRuns, Detail: "the same job was submitted again"}
+}
+
 // callerLeft is the answer for a caller that has left, which nobody reads.
 var callerLeft = job.Answer{Outcome: job.Unknown, Reason: job.Canceled, Detail: "its caller left"}
 
@@ -152,7 +167,7 @@
 		d.finishCall(c, callerLeft)
 		return
 	}
-	if len(c.tried) == 0 && d.assignRunning(now, c) {
+	if len(c.tried) == 0 && (d.assignRunning(now, c) || d.splitCall(now, c)) {
 		return
 	}
 	for len(c.tried) < route.MaxTries {
@@ -252,6 +267,10 @@
 
 // receiveAnswer handles an owner's answer; the caller holds the lock.
 func (d *Node) receiveAnswer(now time.Time, from netip.AddrPort, n uint64, a job.Answer) {
+	if c := d.partCalls[n]; c != nil {
+		d.receivePartAnswer(now, from, n, c, a)
+		return
+	}
 	c := d.calls[n]
 	if c == nil || c.ended || c.owner != from {
 		return
@@ -282,6 +301,7 @@
 	}
 	c.answer, c.ended = a, true
 	delete(d.calls, c.n)
+	d.forgetParts(c)
 	if d.byID[c.job.ID] == c {
 		delete(d.byID, c.job.ID)
 	}
@@ -300,6 +320,10 @@
 	if c.ended {
 		return
 	}
+	if c.parts != nil {
+		d.applyStep(d.now(), c, c.parts.End(a))
+		return
+	}
 	d.finishCall(c, a)
 	if c.owner == d.cfg.VM {
 		d.scheduler.Cancel(d.now(), owner.Key{VM: c.owner, Inc: d.cfg.Inc, Call: c.n}, a.Detail)
@@ -315,6 +339,7 @@
 // loseOwner answers the calls that a lost owner had as unknown. Runs that it started may continue until their leases
 // end, so the callers must not learn that the jobs did not run.
 func (d *Node) loseOwner(vm netip.AddrPort, why string) {
+	d.losePartOwner(vm, why)
 	for _, c := range d.calls {
 		if c.owner != vm || c.ended {
 			continue
@@ -348,30 +373,3 @@
 	d.log.Info("cancel requested", "job", id, "known", c != nil)
 	return c != nil, job.Answer{Outcome: job.Done}
 }
-
-// Waiting implements Dispatcher.
-func (d *Node) Waiting(host, path string) (int, job.Answer) {
-	p := d.plan.Load()
-	if p == nil {
-		return 0, *job.Refuse(job.NoDocument, time.Second, "no configuration is known yet")
-	}
-	q := p.Find(host, path)
-	if q == nil {
-		return 0, *job.Refuse(job.NoQueue, 0, "%s%s is no queue of version %d", host, path, p.Version)
-	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.scheduler.Waiting(q.Name), job.Answer{Outcome: job.Done}
-}
-
-// Leaving implements Dispatcher.
-func (d *Node) Leaving() bool { return d.leaving.Load() }
-
-// Limits implements Dispatcher.
-func (d *Node) Limits() (header, body int, idle time.Duration) {
-	p := d.plan.Load()
-	if p == nil {
-		return 0, 0, 0
-	}
-	return p.Header, p.Body, p.Idle
-}
