--- a/internal/task/owner/part_test.go
+++ b/internal/task/owner/part_test.go
@@ -143,3 +143,26 @@
 	sc.Tick(t0.Add(p.TimeLeft))
 	is.Equal(sc.TakeActions().Replies[0].Answer.Reason, job.Deadline)
 }
+
+// Guards against a part that goes on after the VM that answers the caller died: its keepalives stop, and nobody else can
+// end the part.
+func TestPartEndsWithoutKeepalives(t *testing.T) {
+	is := is.New(t)
+	sc := resending(64, 5*time.Second)
+	sc.TakeActions()
+	sc.Submit(t0, key(2), askedAt(t0, part("p1", 5, 3)))
+	begin(sc, t0, sc.TakeActions().Starts)
+	now := t0.Add(100 * time.Millisecond)
+	sc.Keepalive(now, key(2), now)
+	last := now.Add(sc.cfg.Limits.Expiry() - 1)
+	sc.Keepalive(last, key(1), last) // another job, which goes on
+	sc.Tick(last)
+	for _, r := range sc.TakeActions().Replies {
+		is.True(r.Key != key(2))
+	}
+	sc.Tick(now.Add(sc.cfg.Limits.Expiry()))
+	acts := sc.TakeActions()
+	is.Equal(len(acts.Stops), 3)
+	is.Equal(acts.Replies[0].Key, key(2))
+	is.Equal(acts.Replies[0].Answer.Outcome, job.Unknown)
+}
