Soak: daemons split jobs and estimate speeds; -plain for earlier builds

Cause: the soak has to play the new parts; a daemon of an earlier build refuses settings that it doesn't know, so a run with both builds needs them left out.

Change: the settings of the daemons are a parameter of a run.

--- a/internal/tool/soak/soak.go
+++ b/internal/tool/soak/soak.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/netip"
@@ -34,6 +35,8 @@
 	Endpoints int
 	Rate      float64 // jobs per second
 	Span      time.Duration
+	// Settings are added to those of each daemon.
+	Settings map[string]any
 }
 
 // Report holds the results of a run.
@@ -204,8 +207,8 @@
 	}
 	v := &vm{n: i, callerAddr: at[0], storeProxy: storeProxy, settingsPath: filepath.Join(s.Dir, fmt.Sprintf("vm-%d.json", i)), settings: map[string]any{
 		"name": fmt.Sprint("vm-", i), "domain": s.domain(i), "caller": at[0], "ready": at[1], "mesh": at[2], "metrics": at[3], "store": storeProxy.listener.Addr().String(),
-		"speeds": true,
 	}}
+	maps.Copy(v.settings, s.Settings)
 	if err = v.write(v.settings); err != nil {
 		return nil, err
 	}
--- a/internal/tool/soak/soak_test.go
+++ b/internal/tool/soak/soak_test.go
@@ -20,8 +20,17 @@
 	domains = flag.Int("domains", 4, "number of failure domains")
 	rate    = flag.Float64("rate", 40, "jobs per second")
 	span    = flag.Duration("span", 6*time.Second, "how long jobs are submitted")
+	plain   = flag.Bool("plain", false, "leave out settings that earlier builds can't read")
 )
 
+// settings switch on what a deployment may ask for.
+func settings() map[string]any {
+	if *plain {
+		return nil
+	}
+	return map[string]any{"speeds": true, "split": true}
+}
+
 // regressionSeeds are seeds that once violated a guarantee, with the cause.
 var regressionSeeds = []uint64{
 	136, // a paused owner resumed and started a job that its caller had resubmitted
@@ -48,7 +57,7 @@
 					t.Fatal(err)
 				}
 			}
-			r, err := Run(t.Context(), Options{Binary: binary, Dir: dir, Seed: sd, Domains: *domains, VMs: *vms, Endpoints: 2 * *vms, Rate: *rate, Span: *span})
+			r, err := Run(t.Context(), Options{Binary: binary, Dir: dir, Seed: sd, Domains: *domains, VMs: *vms, Endpoints: 2 * *vms, Rate: *rate, Span: *span, Settings: settings()})
 			if err != nil {
 				t.Fatal(err)
 			}
