--- a/internal/tool/grid/resubmit_test.go
+++ b/internal/tool/grid/resubmit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"math/rand/v2"
 	"sync"
 	"testing"
@@ -34,6 +35,9 @@
 	fault         func(*Grid)   // may be nil
 	wait          time.Duration // from the fault to the first submission
 	linkRate      int
+	tasks         int // of each job, 0 for one
+	options       serve.Options
+	log           io.Writer
 
 	mu      sync.Mutex
 	answers []timedAnswer // to the second submissions
@@ -52,14 +56,14 @@
 			go func() {
 				defer g.wg.Done()
 				time.Sleep(p.wait + time.Duration(i)*departingEvery)
-				p.leaveAndReturn(g, g.longSubmission(i, departingWork))
+				p.leaveAndReturn(g, g.wideSubmission(i, max(1, p.tasks), departingWork))
 			}()
 		}
 		if p.fault != nil {
 			p.fault(g)
 		}
 	})
-	set.LinkRate = p.linkRate
+	set.LinkRate, set.Options, set.Log = p.linkRate, p.options, p.log
 	set.Span += p.wait
 	simulate(t, set)
 }
@@ -107,6 +111,16 @@
 	return serve.Submission{Host: host, Path: "/plain/" + j.ID, Job: j, Left: 5 * time.Second}
 }
 
+// wideSubmission is longSubmission of a job with several tasks.
+func (g *Grid) wideSubmission(n, tasks int, work time.Duration) serve.Submission {
+	s := g.longSubmission(n, work)
+	s.Job.Steps[0].Count = tasks
+	for k := range tasks {
+		g.Judge.Expect(batch.Task{Job: s.Job.ID, Index: k}.String(), fakes.Work{Need: s.Job.Steps[0].Need, Run: work})
+	}
+	return s
+}
+
 // Guards against a second start of a job that is submitted again at the same VM before the VM has
 // noticed that the first caller left.
 func TestJobResubmittedAtSameVMRunsOnce(t *testing.T) {
--- a/internal/tool/grid/splitcut_test.go
+++ b/internal/tool/grid/splitcut_test.go
@@ -45,3 +45,23 @@
 	is.True(split > 200)
 	is.Equal(unknown, 0)
 }
+
+// Guards against a second start of tasks whose job runs in parts: callers leave a VM, which does not notice, and submit
+// their jobs again at another VM while several owners run them.
+func TestSplitJobsSubmittedElsewhereRunOnce(t *testing.T) {
+	is := is.New(t)
+	var log bytes.Buffer
+	p := &departure{first: 0, second: 5, tasks: 48, options: serve.Options{Split: true}, log: &log}
+	p.play(t)
+	told := 0
+	for _, a := range p.answers { // others find no room: each job needs more places than an owner has
+		if a.Reason == job.StillRuns {
+			told++
+			is.True(a.Outcome == job.Unknown && a.took <= answerWithin && a.Retry > 0)
+		}
+	}
+	split := bytes.Count(log.Bytes(), []byte(`msg="job split" vm=127.20.0.1:`))
+	ended := bytes.Count(log.Bytes(), []byte(`msg="split job submitted elsewhere"`)) + bytes.Count(log.Bytes(), []byte(`msg="job may run in parts"`))
+	t.Logf("%d jobs split at the first VM, %d ended by their resubmission, %d told to come back", split, ended, told)
+	is.True(ended > 0 && told > 0)
+}
