Owner: start the waiting task that fills an endpoint

Change: with Config.Fill, where the first job that has room would start, a later one of its rank and lateness starts if that leaves less unused and all that it passes over can wait for a run of their kind. Load counts no gap that is smaller than the least need seen lately. Log: job passed over; metric: dahliawinch_unused_cores. Off by default, and then nothing changes.

--- a/internal/edge/serve/node.go
+++ b/internal/edge/serve/node.go
@@ -160,6 +160,7 @@
 		defer d.mu.Unlock()
 		return float64(len(d.cordons))
 	})
+	d.registerRoom()
 	return d
 }
 
--- a/internal/task/owner/dispatch.go
+++ b/internal/task/owner/dispatch.go
@@ -61,6 +61,9 @@
 		if s == nil {
 			return false
 		}
+		if sc.cfg.Fill && st.failures[k] == 0 && sc.startFiller(now, e, i, s) {
+			continue
+		}
 		st.waiting = st.waiting[:last]
 		sc.start(now, e, i, k, s)
 	}
--- a/internal/task/owner/endpoints.go
+++ b/internal/task/owner/endpoints.go
@@ -152,7 +152,7 @@
 			continue
 		}
 		l.Total += s.Size.Cores
-		l.Free += max(0, s.Free().Cores)
+		l.Free += sc.offered(s)
 	}
 	for _, e := range sc.queue {
 		var work float64
--- a/internal/task/owner/job.go
+++ b/internal/task/owner/job.go
@@ -30,6 +30,7 @@
 	answered  bool // its final answer was given
 	late      bool // it will miss its objective
 	moves     int  // runs that were stopped to restart elsewhere
+	passed    int  // times a later job's task started in room that one of its tasks fits
 	// For the log: number of runs started, and the longest run with its endpoint.
 	starts    int
 	slowest   time.Duration
--- a/internal/task/owner/needs.go
+++ b/internal/task/owner/needs.go
@@ -13,6 +13,7 @@
 type needStats struct {
 	mean    job.Size
 	counted job.Size // the mean when the endpoints' slots were last counted
+	least   float64  // about the fewest cores that tasks needed lately
 	seen    bool
 }
 
@@ -33,9 +34,11 @@
 	for i := range j.Steps {
 		if !n.seen {
 			n.mean, n.seen = j.Steps[i].Need, true
+			n.least = n.mean.Cores
 			continue
 		}
 		need := j.Steps[i].Need
+		n.least = min(need.Cores, n.least+needGain*(need.Cores-n.least))
 		n.mean.Cores += needGain * (need.Cores - n.mean.Cores)
 		n.mean.Memory += needGain * (need.Memory - n.mean.Memory)
 		n.mean.Accels += needGain * (need.Accels - n.mean.Accels)
