Owner: give later ranks their guaranteed share

Change: with Config.Shares, jobs in time of a rank that holds less than its part here go before earlier ranks. The forecast lets them wait only for the places of that part, and takes those from jobs of earlier ranks. Heartbeats carry what owners give (sh), only where shares are set. Off by default, and then nothing changes.

--- a/internal/edge/serve/beat.go
+++ b/internal/edge/serve/beat.go
@@ -138,6 +138,7 @@
 		l.Next = view.RemoteFactor * view.Period
 		b.Load = &l
 	}
+	b.Shared = sharedFrames(d.scheduler.Shares())
 	return b
 }
 
@@ -275,6 +276,7 @@
 		if len(m.Suspects)+len(m.Losses)+len(m.Cleared) > 0 {
 			d.applyReports(m)
 		}
+		d.receiveShared(from, m)
 		if m.Load != nil {
 			d.mu.Lock()
 			d.recordLoad(now, from.VM, loadOf(*m.Load), from.Domain == d.cfg.Domain, m.Load.Next)
--- a/internal/mesh/frame/msg.go
+++ b/internal/mesh/frame/msg.go
@@ -93,6 +93,22 @@
 	Unheard []string `msgpack:"h,omitempty"`
 	// Load is the sender's load, if it is not sent in messages of its own.
 	Load *Load `msgpack:"y,omitempty"`
+	// Shared states what ranks with a guaranteed share hold and want at the sender, by pool.
+	Shared []Shared `msgpack:"sh,omitempty"`
+}
+
+// Shared states the cores of a pool at an owner, and their use by the ranks that have a share.
+type Shared struct {
+	Pool  string    `msgpack:"p"`
+	Cores float32   `msgpack:"c"`
+	Ranks []RankUse `msgpack:"r,omitempty"`
+}
+
+// RankUse is the number of cores that a rank holds at an owner, and that its waiting tasks need.
+type RankUse struct {
+	Rank    int     `msgpack:"r"`
+	Used    float32 `msgpack:"u,omitempty"`
+	Waiting float32 `msgpack:"w,omitempty"`
 }
 
 // Suspect is a task that was running on endpoints when they were lost.
--- a/internal/task/owner/admit.go
+++ b/internal/task/owner/admit.go
@@ -102,7 +102,7 @@
 	if total == 0 {
 		return 0
 	}
-	return incoming / total
+	return incoming / (total * (1 - sc.heldByLater(rank)))
 }
 
 // forecast predicts how long a new job's tasks wait in total, from what runs and what is queued
@@ -114,6 +114,7 @@
 	if len(places) == 0 {
 		return time.Hour
 	}
+	places = sc.withoutShares(now, e, places)
 	occupy := func(d time.Duration) time.Duration {
 		at := places[0]
 		i, _ := slices.BinarySearch(places[1:], at+d)
@@ -157,7 +158,7 @@
 		// Work of earlier ranks that arrives in the meantime goes first.
 		wait = time.Duration(float64(wait) / max(minShare, 1-sc.pressure(now, rank)))
 	}
-	return wait
+	return sc.limitByShare(now, e, wait)
 }
 
 // minShare is the smallest share of a pool that later ranks are assumed to get.
--- a/internal/task/owner/dispatch.go
+++ b/internal/task/owner/dispatch.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -20,6 +21,7 @@
 // dispatch starts waiting tasks in queue order while there is room. Smaller jobs may pass one that
 // doesn't fit, as it couldn't use that room now.
 func (sc *Scheduler) dispatch(now time.Time) {
+	sc.dispatchShares(now)
 	minUnfit := 0.0 // smallest need in cores that found no room in this pass
 	for _, e := range slices.Clone(sc.queue) {
 		if !e.fresh(now) {
@@ -32,7 +34,7 @@
 			if c := e.Steps[i].Need.Cores; minUnfit > 0 && c >= minUnfit {
 				continue
 			}
-			if !sc.startStep(now, e, i) && unconstrained(&e.Steps[i]) {
+			if !sc.startStep(now, e, i, math.MaxInt) && unconstrained(&e.Steps[i]) {
 				minUnfit = e.Steps[i].Need.Cores
 			}
 		}
@@ -45,13 +47,13 @@
 // unconstrained reports whether a step's tasks may run on any endpoint with room.
 func unconstrained(s *batch.Step) bool { return s.Label == "" && s.Spread == 0 && !s.Gang }
 
-// startStep starts the tasks of a step that fit; it returns false if one didn't.
-func (sc *Scheduler) startStep(now time.Time, e *entry, i int) bool {
+// startStep starts the tasks of a step that fit, up to a number of them; it returns false if one didn't fit.
+func (sc *Scheduler) startStep(now time.Time, e *entry, i, most int) bool {
 	st := &e.steps[i]
 	if e.Steps[i].Gang && !sc.gangFits(now, e, i) {
 		return len(st.waiting) == 0
 	}
-	for len(st.waiting) > 0 {
+	for ; len(st.waiting) > 0 && most > 0; most-- {
 		last := len(st.waiting) - 1
 		k := st.waiting[last]
 		if len(sc.pending) > 0 && sc.awaitsVerdict(batch.Task{Job: e.ID, Step: i, Index: k}.String()) {
--- a/internal/task/owner/replay_test.go
+++ b/internal/task/owner/replay_test.go
@@ -74,8 +74,10 @@
 	took    map[string]time.Duration
 	used    []float64 // core-seconds by rank, from usedFrom on
 	from    time.Duration
-	overful bool      // an endpoint had more runs than room
-	tick    time.Time // when the scheduler's next Tick is due
+	// onStarts, if set, is called with the starts of each event.
+	onStarts func([]Start)
+	overful  bool      // an endpoint had more runs than room
+	tick     time.Time // when the scheduler's next Tick is due
 	// usedWaiting and waiting are core-seconds in use, and of all endpoints, while jobs wait.
 	usedWaiting, waiting float64
 }
@@ -117,6 +119,9 @@
 // apply carries out the scheduler's actions.
 func (p *replay) apply() {
 	a := p.sc.TakeActions()
+	if p.onStarts != nil {
+		p.onStarts(a.Starts)
+	}
 	for _, s := range a.Starts {
 		p.sc.Started(p.now, s.At, s.Run)
 		p.tasks[s.Run.Name]++
--- a/internal/task/owner/review.go
+++ b/internal/task/owner/review.go
@@ -53,6 +53,7 @@
 		sc.runsEnded(now, s, ended, "lease ran out")
 	}
 	sc.resolvePending(now)
+	sc.updateShares(now)
 	for _, e := range sc.jobs {
 		sc.review(now, e)
 	}
--- a/internal/task/owner/scheduler.go
+++ b/internal/task/owner/scheduler.go
@@ -109,6 +109,7 @@
 	recentCleared     []clearedEntry  // endpoints taken over from other owners
 	// cordons holds the time since when the endpoints of a failure domain get no new work.
 	cordons map[string]time.Time
+	shares  shares
 }
 
 // New returns a Scheduler that owns no endpoint.
