--- a/internal/task/owner/dispatch.go
+++ b/internal/task/owner/dispatch.go
@@ -152,11 +152,11 @@
 }
 
 func (sc *Scheduler) usable(now time.Time, s *endpoint, e *entry, st *batch.Step) bool {
-	switch {
-	case s.lost, !s.Endpoint.Open(), !s.Leasable(now, e), now.Before(s.fullUntil), s.handingOver && !e.begun, !sc.cordonAdmits(now, s, e):
-		return false
+	switch { // room first: most endpoints have none, and Leasable reads all runs
 	case !st.Need.Fits(s.Free()), !matches(s, st, e.Pool):
 		return false
+	case s.lost, !s.Endpoint.Open(), !s.Leasable(now, e), now.Before(s.fullUntil), s.handingOver && !e.begun, !sc.cordonAdmits(now, s, e):
+		return false
 	}
 	if !e.late && sc.isSlow(s) && now.Sub(s.lastStart) < slowTrialInterval {
 		return false
