--- a/internal/tool/grid/share_test.go
+++ b/internal/tool/grid/share_test.go
@@ -100,3 +100,19 @@
 		is.True(g.Counts(i, set.Warmup, set.Warmup+set.Span).Share() >= 0.97)
 	}
 }
+
+// Guards against broken promises under random faults with Fill and shares, and with VMs beside that have neither.
+func TestRandomFaultsWithSharesBreakNoPromise(t *testing.T) {
+	simulateRandom(t, func(s uint64) (set Setup, names string) {
+		set = UserSetup(160)
+		set.Seed, set.Span = s, 10*time.Second
+		set.OptionsOf = func(n int) serve.Options {
+			if n%3 == 2 {
+				return serve.Options{}
+			}
+			return serve.Options{Fill: true, Shares: map[string]float64{"1": 0.2, "2": 0.4}}
+		}
+		set.Faults, names = RandomFaults(s, set.Span)
+		return set, names
+	})
+}
