Share: an owner that has just started gives the share, not more

Cause: a grid's log showed part=0.8 of a share of 0.4 at an owner's first decision: the time since the last one counted from year 1, so the part rose by a whole step at once.

Change: the first decision takes no step, and peers that own nothing are not kept.

--- a/internal/task/owner/replay_test.go
+++ b/internal/task/owner/replay_test.go
@@ -72,8 +72,10 @@
 	tasks   map[string]int       // starts, by task
 	answers map[string]job.Answer
 	took    map[string]time.Duration
-	used    []float64 // core-seconds by rank, from usedFrom on
+	used    []float64 // core-seconds by rank, after from
 	from    time.Duration
+	held    []float64 // cores that runs hold, by rank
+	cores   float64
 	// onStarts, if set, is called with the starts of each event.
 	onStarts func([]Start)
 	overful  bool      // an endpoint had more runs than room
@@ -106,9 +108,10 @@
 	if cfg.Log == nil {
 		cfg.Log = slog.New(slog.NewTextHandler(io.Discard, nil))
 	}
-	p := &replay{sc: New(cfg), now: t0, tick: t0, serials: map[*lease.Endpoint]int64{}, arrived: map[string]arrival{}, keys: map[Key]string{}, started: map[string]time.Time{}, tasks: map[string]int{}, answers: map[string]job.Answer{}, took: map[string]time.Duration{}, used: make([]float64, 3)}
+	p := &replay{sc: New(cfg), now: t0, tick: t0, serials: map[*lease.Endpoint]int64{}, arrived: map[string]arrival{}, keys: map[Key]string{}, started: map[string]time.Time{}, tasks: map[string]int{}, answers: map[string]job.Answer{}, took: map[string]time.Duration{}, used: make([]float64, 3), held: make([]float64, 3)}
 	for i := range endpoints {
 		id := fmt.Sprintf("e%02d", i)
+		p.cores += []float64{16, 16, 24}[i%3]
 		p.sc.Own(lease.Info{ID: id, Addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 0, byte(i)}), 80), Pool: "p", Size: job.Size{Cores: []float64{16, 16, 24}[i%3], Memory: 128}}, 7)
 		p.sc.Renewed(t0, t0, p.sc.Find(id), lease.Report{Clock: 1000})
 	}
@@ -125,6 +128,7 @@
 	for _, s := range a.Starts {
 		p.sc.Started(p.now, s.At, s.Run)
 		p.tasks[s.Run.Name]++
+		p.held[s.Run.Job.(*entry).Rank] += s.Run.Need.Cores
 		if _, ok := p.started[s.Run.Task.Job]; !ok {
 			p.started[s.Run.Task.Job] = p.now
 		}
@@ -141,17 +145,14 @@
 func (p *replay) advance(to time.Time) {
 	d := to.Sub(p.now).Seconds()
 	if p.now.Sub(t0) >= p.from {
-		cores, used := 0.0, 0.0
-		for _, s := range p.sc.order {
-			cores += s.Size.Cores
-			used += s.Used.Cores
-			for _, r := range s.Runs {
-				p.used[r.Job.(*entry).Rank] += d * r.Need.Cores
-			}
+		used := 0.0
+		for r, held := range p.held {
+			p.used[r] += d * held
+			used += held
 		}
 		if len(p.sc.queue) > 0 {
 			p.usedWaiting += d * used
-			p.waiting += d * cores
+			p.waiting += d * p.cores
 		}
 	}
 	p.now = to
@@ -197,6 +198,7 @@
 
 // end reports the end of a run with the endpoint's other runs.
 func (p *replay) end(s Start) {
+	p.held[s.Run.Job.(*entry).Rank] -= s.Run.Need.Cores
 	if s.Run.Stage == lease.Over {
 		return
 	}
--- a/internal/task/share/share.go
+++ b/internal/task/share/share.go
@@ -42,8 +42,12 @@
 // Ledger holds what other owners reported.
 type Ledger struct{ peers map[netip.AddrPort]heard }
 
-// Record replaces a peer's reports.
+// Record replaces a peer's reports; one without any owns nothing.
 func (l *Ledger) Record(now time.Time, vm netip.AddrPort, reports []Report) {
+	if len(reports) == 0 {
+		delete(l.peers, vm)
+		return
+	}
 	if l.peers == nil {
 		l.peers = map[netip.AddrPort]heard{}
 	}
@@ -141,7 +145,10 @@
 // Update returns the part of the cores to give now. Waiting says that the rank has work waiting here, and full that it
 // holds what it was given.
 func (g *Grant) Update(now time.Time, share, level float64, waiting, full bool) float64 {
-	step := share * min(1, now.Sub(g.at).Seconds()/rampTime.Seconds())
+	step := 0.0
+	if !g.at.IsZero() {
+		step = share * min(1, now.Sub(g.at).Seconds()/rampTime.Seconds())
+	}
 	g.at = now
 	switch {
 	case !waiting:
--- a/internal/task/share/share_test.go
+++ b/internal/task/share/share_test.go
@@ -58,8 +58,9 @@
 // Guards against a burst in which every owner makes up for all others before it has heard that they have work too.
 func TestGrantRisesSlowlyBeyondTheShare(t *testing.T) {
 	is := is.New(t)
-	var g Grant
-	is.Equal(g.Update(t0, 0.4, 1, false, false), 0.4) // no work: nothing is made up for
+	var started, g Grant
+	is.Equal(started.Update(t0, 0.4, 1, true, true), 0.4) // an owner that has just started
+	is.Equal(g.Update(t0, 0.4, 1, false, false), 0.4)     // no work: nothing is made up for
 	is.Equal(g.Update(t0.Add(time.Second), 0.4, 1, false, false), 0.4)
 	is.Equal(g.Update(t0.Add(1100*time.Millisecond), 0.4, 1, true, false), 0.4) // room of its own is left
 	got := g.Update(t0.Add(1400*time.Millisecond), 0.4, 1, true, true)
