--- a/internal/edge/serve/beat.go
+++ b/internal/edge/serve/beat.go
@@ -152,6 +152,7 @@
 		l.Next = view.RemoteFactor * view.Period
 		b.Load = &l
 	}
+	b.Shared = sharedFrames(d.scheduler.Shares())
 	return b
 }
 
@@ -296,6 +297,7 @@
 			d.applyReports(m)
 		}
 		d.mergeSpeeds(now, from, m)
+		d.receiveShared(from, m)
 		if m.Load != nil {
 			d.mu.Lock()
 			d.recordLoad(now, from.VM, loadOf(*m.Load), from.Domain == d.cfg.Domain, m.Load.Next)
--- a/internal/edge/serve/node.go
+++ b/internal/edge/serve/node.go
@@ -165,6 +165,7 @@
 	if cfg.Options.Speeds {
 		d.addSpeedGauges()
 	}
+	d.registerRoom()
 	return d
 }
 
--- a/internal/task/owner/scheduler.go
+++ b/internal/task/owner/scheduler.go
@@ -112,6 +112,7 @@
 	// cordons holds the time since when the endpoints of a failure domain get no new work.
 	cordons map[string]time.Time
 	speeds  *speedState // nil unless the settings ask for it
+	shares  shares
 }
 
 // New returns a Scheduler that owns no endpoint.
--- a/internal/task/owner/speeds.go
+++ b/internal/task/owner/speeds.go
@@ -87,6 +87,7 @@
 	sc.cfg.Log.Info("endpoint speed", "endpoint", s.ID, "factor", round2(s.speed), "before", round2(before), "runs", sc.speeds.Runs(s.ID), "source", source, "kind", s.Kind())
 }
 
+// round2 rounds a figure for the log.
 func round2(x float64) float64 { return math.Round(100*x) / 100 }
 
 // recordSpeed updates an endpoint's estimate with a run that took, or will take, the given time. An endpoint that
--- a/internal/tool/grid/split_test.go
+++ b/internal/tool/grid/split_test.go
@@ -81,7 +81,7 @@
 // Guards against the same with eleven owners of twelve endpoints each, the number of the users' deployments.
 func TestHeavyLoadOverElevenOwners(t *testing.T) {
 	is := is.New(t)
-	off, on := compareSplit(t, 1, heavyFrom, heavyTo, elevenOwners)
+	off, on := compareSplit(t, 1, tripleFrom, tripleTo, elevenOwners)
 	is.True(on.kinds[urgent].Share() >= off.kinds[urgent].Share()+0.10)
 	is.True(on.byWidth[3].Share() >= off.byWidth[3].Share()+0.20)
 	is.True(float64(on.all.Failed) <= 0.002*float64(on.all.Asked))
@@ -89,14 +89,14 @@
 	is.True(on.earned >= off.earned-0.04)
 }
 
-const heavyFrom, heavyTo = 4 * time.Second, 9 * time.Second
+const tripleFrom, tripleTo = 4 * time.Second, 9 * time.Second
 
 // elevenOwners is a deployment of eleven owners with three times the usual load for five seconds.
 func elevenOwners(seed uint64, split bool) Setup {
 	set := UserSetup(275)
 	set.Domains, set.Endpoints, set.VMs, set.Span = 11, 132, 22, 8*time.Second
 	set.Seed, set.Options = seed, serve.Options{Split: split}
-	set.Rate = burst(3, heavyFrom, heavyTo, urgent, long, plain)
+	set.Rate = burst(3, tripleFrom, tripleTo, urgent, long, plain)
 	return set
 }
 
@@ -104,7 +104,7 @@
 // the users ask.
 func TestUrgentJobsOfAnyWidthAreInTimeUnderHeavyLoad(t *testing.T) {
 	is := is.New(t)
-	_, on := compareSplit(t, 1, heavyFrom, heavyTo, elevenOwners)
+	_, on := compareSplit(t, 1, tripleFrom, tripleTo, elevenOwners)
 	is.True(on.kinds[urgent].Share() >= 0.98)
 	for _, c := range on.byWidth {
 		is.True(c.Asked == 0 || c.Share() >= 0.95)
