Demand: a view of what arrives and of the room that owners have

Cause: nobody knows that all owners are full, so a refused job costs four handoffs, and each owner that is tried counts the job again. Heartbeat.Demand and JobAnswer.Demand carry the reports.

--- a/internal/mesh/frame/msg.go
+++ b/internal/mesh/frame/msg.go
@@ -93,6 +93,8 @@
 	Unheard []string `msgpack:"h,omitempty"`
 	// Load is the sender's load, if it is not sent in messages of its own.
 	Load *Load `msgpack:"y,omitempty"`
+	// Demand is what arrives at the sender and what its endpoints can take.
+	Demand *Demand `msgpack:"d,omitempty"`
 }
 
 // Suspect is a task that was running on endpoints when they were lost.
@@ -247,6 +249,8 @@
 	Call   uint64     `msgpack:"c"` // call number of that incarnation
 	Answer job.Answer `msgpack:"a"`
 	Load   Load       `msgpack:"l"`
+	// Demand is the sender's room when it refused the job.
+	Demand *Demand `msgpack:"d,omitempty"`
 }
 
 // CancelJob cancels a RunJob because its caller left or its deadline has passed.
@@ -266,6 +270,15 @@
 	Lag      time.Duration // how long an order from the sender to an endpoint takes
 }
 
+// Demand tells what arrives at a VM and how much room it has, for ranks 0, 1 and all later ones. With compact integers it
+// takes 40 bytes or less in a heartbeat.
+type Demand struct {
+	Rates  []uint32 `msgpack:"r,omitempty"` // core-seconds a second of jobs that callers submit
+	Cores  uint32   `msgpack:"c,omitempty"` // that tasks can fill; 0 if the sender owns no endpoints
+	Places []uint32 `msgpack:"p,omitempty"` // tasks of usual size that could start now
+	Waits  []uint32 `msgpack:"w,omitempty"` // of a usual job, in milliseconds
+}
+
 // PlanUpdate passes on what the sender read of the operators' declarations.
 type PlanUpdate struct {
 	From    int64       `msgpack:"f"` // offsets in the store's topic
