--- a/internal/edge/serve/demand.go
+++ b/internal/edge/serve/demand.go
@@ -16,6 +16,9 @@
 // under overload an owner refuses hundreds of jobs a second.
 const roomFor = 20 * time.Millisecond
 
+// maxPlaces is the largest number of places that is told: it takes one byte, and jobs are rarely wider.
+const maxPlaces = 127
+
 // initDemand creates the view of demand and room if the settings ask for it.
 func (d *Node) initDemand() {
 	if !d.cfg.Options.Demand {
@@ -79,7 +82,7 @@
 		return m
 	}
 	for i := range demand.Ranks {
-		m.Places = append(m.Places, whole(float64(d.room.Places[i])))
+		m.Places = append(m.Places, whole(min(float64(d.room.Places[i]), maxPlaces)))
 		m.Waits = append(m.Waits, whole(min(float64(d.room.Wait[i].Milliseconds()), math.MaxUint16)))
 	}
 	return m
