--- a/internal/edge/serve/beat.go
+++ b/internal/edge/serve/beat.go
@@ -30,6 +30,7 @@
 	d.updateIsolation(now)
 	d.updateClaims(now)
 	b := d.newBeat(now)
+	d.logPressure(now)
 	d.perform()
 	d.mu.Unlock()
 	d.beatCount++
--- a/internal/edge/serve/demand.go
+++ b/internal/edge/serve/demand.go
@@ -184,6 +184,30 @@
 
 func hundredths(x float64) float64 { return math.Round(100*x) / 100 }
 
+// pressureLogEvery is the shortest time between two lines about a change of the pressure's range.
+const pressureLogEvery = time.Second
+
+// logPressure logs when the pressure passes a threshold of the view's decisions; the caller holds the lock.
+func (d *Node) logPressure(now time.Time) {
+	if d.demand == nil || now.Sub(d.rangeAt) < pressureLogEvery {
+		return
+	}
+	p := d.demand.Pressure(now, demand.Ranks)
+	name := "calm"
+	switch {
+	case p >= demand.Overload:
+		name = "overload"
+	case p >= demand.Calm:
+		name = "tight"
+	}
+	if name == d.pressureRange || d.pressureRange == "" && name == "calm" {
+		return
+	}
+	s := d.demand.Summarize(now, demand.Ranks)
+	d.log.Info("pressure", "range", name, "before", d.pressureRange, "pressure", hundredths(p), "pressure_of_domain", hundredths(d.demand.Near(now, demand.Ranks)), "backlog", s.Backlog, "owners", s.Owners, "age", s.Age.Round(time.Millisecond))
+	d.pressureRange, d.rangeAt = name, now
+}
+
 // refuseTried ends a call that owners have refused; the caller holds the lock.
 func (d *Node) refuseTried(now time.Time, c *call, a job.Answer) {
 	if d.demand != nil && a.Outcome == job.Refused && a.Reason == job.Overload {
--- a/internal/edge/serve/node.go
+++ b/internal/edge/serve/node.go
@@ -102,24 +102,27 @@
 	// only the follower of the endpoints uses it.
 	vmsReadAfter time.Duration
 
-	mu           sync.Mutex // guards all fields below
-	scheduler    *owner.Scheduler
-	claims       *claim.Table
-	routes       *route.Table
-	demand       *demand.View // nil unless the option is on
-	room         demand.Room  // what this VM told last, of roomAt
-	roomAt       time.Time
-	calls        map[uint64]*call
-	byID         map[string]*call
-	parked       []*call // calls that wait until an owner is known
-	waits        learn.PriorWaits
-	askers       []netip.AddrPort // VMs that asked for a copy of the endpoints before they were known here
-	roster       *roster
-	missingSince map[string]time.Time // since when the entry of an endpoint is missing
-	aliveSince   map[netip.AddrPort]time.Time
-	wakes        map[string]chan struct{} // wakes the renewals of owned endpoints
-	sentLoad     owner.Load
-	loadSentAt   time.Time
+	mu        sync.Mutex // guards all fields below
+	scheduler *owner.Scheduler
+	claims    *claim.Table
+	routes    *route.Table
+	demand    *demand.View // nil unless the option is on
+	room      demand.Room  // what this VM told last, of roomAt
+	roomAt    time.Time
+	// pressureRange is the range of the pressure that was logged last, at rangeAt.
+	pressureRange string
+	rangeAt       time.Time
+	calls         map[uint64]*call
+	byID          map[string]*call
+	parked        []*call // calls that wait until an owner is known
+	waits         learn.PriorWaits
+	askers        []netip.AddrPort // VMs that asked for a copy of the endpoints before they were known here
+	roster        *roster
+	missingSince  map[string]time.Time // since when the entry of an endpoint is missing
+	aliveSince    map[netip.AddrPort]time.Time
+	wakes         map[string]chan struct{} // wakes the renewals of owned endpoints
+	sentLoad      owner.Load
+	loadSentAt    time.Time
 	// loadInterval is the shortest time from one load message to the next.
 	loadInterval  time.Duration
 	endpointsRead bool
