Demand: refused callers stay away for longer, and their returns count for nothing

Cause: with callers that come back after a refusal, each return counted as demand and raised the pressure, and so the refusals; they came back after the lack alone. Change: only first attempts count; a Retry-After is three times the backlog, more under pressure; one turn for fifty admissions instead of twenty; a setting of the grid lets callers return.

--- a/internal/edge/serve/demand.go
+++ b/internal/edge/serve/demand.go
@@ -41,10 +41,11 @@
 	return d.demand.Pressure
 }
 
-// recordDemand counts a job that has come from its caller, unless it was submitted here or elsewhere before and still
-// runs; the caller holds the lock.
+// recordDemand counts a job that has come from its caller for the first time: not one that still runs, and not one of a
+// caller that has waited elsewhere. If those counted, refusals would raise the pressure and with it the refusals: in a
+// burst of 2.5 with callers that return 2,352 instead of 2,639 of 4,052 jobs were in time. The caller holds the lock.
 func (d *Node) recordDemand(now time.Time, c *call) {
-	if d.demand == nil || c.formerOwner.IsValid() {
+	if d.demand == nil || c.formerOwner.IsValid() || c.job.Waited > 0 {
 		return
 	}
 	if _, ok := d.findOwner(now, c.job.ID); !ok {
@@ -175,7 +176,7 @@
 // refuseByView refuses a call with a retry time that follows from the view; the caller holds the lock.
 func (d *Node) refuseByView(now time.Time, c *call, a job.Answer) {
 	s, ask, pressure := d.demand.Summarize(now, c.job.Rank), d.ask(now, c), d.demand.Pressure(now, c.job.Rank+1)
-	a.Retry = jitter(demand.Retry(s.Backlog, ask.Budget, pressure, minRetry, maxRetry))
+	a.Retry = jitter(max(a.Retry, demand.Retry(s.Backlog, pressure, minRetry, maxRetry)))
 	d.log.Info("job refused", "job", c.job.ID, "by", "first VM", "queue", c.job.Queue, "rank", c.job.Rank, "tasks", c.job.Tasks(), "reason", string(a.Reason), "tried", len(c.tried), "waited", c.job.Waited,
 		"pressure", hundredths(d.demand.Pressure(now, demand.Ranks)), "pressure_of_rank", hundredths(pressure), "pressure_of_domain", hundredths(d.demand.Near(now, demand.Ranks)),
 		"backlog", s.Backlog, "budget", ask.Budget.Round(time.Millisecond), "places", s.Places, "owners", s.Owners, "age", s.Age.Round(time.Millisecond), "retry", a.Retry.Round(time.Millisecond))
--- a/internal/task/demand/decide.go
+++ b/internal/task/demand/decide.go
@@ -25,7 +25,7 @@
 	// than the age of most reports. With the limits of the other ranks 1,606 instead of 1,730 of 2,189 urgent jobs are
 	// in time under heavy load.
 	urgentLimit = 1.5
-	urgentGain  = 1.2
+	urgentGain  = 1.1
 )
 
 // Ask is what a job needs of an owner.
@@ -157,11 +157,16 @@
 	return s
 }
 
-// Retry returns the time after which a refused caller should come back: when the shortest wait fits its job again, and
-// later the more work arrives than can be done, within bounds.
-func Retry(backlog, budget time.Duration, pressure float64, least, most time.Duration) time.Duration {
-	lack := float64(backlog-max(0, budget)) * max(1, pressure)
-	return time.Duration(min(max(lack, float64(least)), float64(most)))
+// retryFactor is how many times the shortest wait a refused caller stays away. One that comes back while more arrives than
+// can be done is refused again, and each return adds to what arrives. With callers that return in a burst of 2.5 for
+// 8 s, 3,094 of 4,052 jobs are in time with 3, 3,011 with 1, and 2,639 if callers stay away for the lack alone.
+const retryFactor = 3
+
+// Retry returns the time after which a refused caller should come back, from the shortest wait of a usual job of its rank,
+// and later the more work arrives than can be done, within bounds.
+func Retry(backlog time.Duration, pressure float64, least, most time.Duration) time.Duration {
+	away := retryFactor * float64(backlog) * max(1, pressure)
+	return time.Duration(min(max(away, float64(least)), float64(most)))
 }
 
 // Wait returns the wait of a usual job of a rank that an owner reported; false if it has reported none lately.
--- a/internal/task/demand/turns.go
+++ b/internal/task/demand/turns.go
@@ -4,8 +4,9 @@
 
 const (
 	// turnCredit is the part of a turn that each admission of another job of the rank adds. A late answer is worth a
-	// fifth of one in time, so that one in twenty costs at most 4 % of what a rank earns.
-	turnCredit = 0.05
+	// fifth of one in time, so that one in fifty costs at most 2 % of what a rank earns; one in twenty cost 3 % of the
+	// jobs in time, as callers that were refused for it came back as well.
+	turnCredit = 0.02
 	// maxCredit is how many turns may be saved up, so that a calm hour does not let a crowd of returning callers in.
 	maxCredit = 2
 	// turnMemory is how long a returning caller that was refused holds back later ones: longer than the least time
@@ -15,7 +16,7 @@
 
 // Turns decides, at one owner and for one rank, which callers that were refused elsewhere are served although others
 // are in time for their objective and they no longer are: the one whose first attempt is the oldest, once for each
-// twenty admissions of others.
+// fifty admissions of others.
 //
 // Without this a caller that was refused once is refused for as long as more comes than can be done, since the time it
 // has waited counts against its objective while callers who are new are admitted.
--- a/internal/tool/grid/demand_test.go
+++ b/internal/tool/grid/demand_test.go
@@ -224,3 +224,34 @@
 		})
 	}
 }
+
+// Guards against callers that were refused once and are refused for as long as more comes than can be done, while new
+// ones of their rank are admitted: callers come back when they are told to, under an overload that lasts. Late answers
+// to them must not cost jobs in time.
+func TestReturningCallersAreServedUnderOverload(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	var all, back [2]Count
+	var earned [2]float64
+	for seed := range uint64(2) {
+		for i, on := range []bool{false, true} {
+			set := UserSetup(100)
+			set.Seed, set.Return, set.Options.Demand = seed+1, true, on
+			set.Rate = burst(2.5, 4*time.Second, 12*time.Second, urgent, long, plain)
+			g := simulate(t, set)
+			all[i].Add(g.Counts(allKinds, 4*time.Second, 12*time.Second))
+			earned[i] += g.Earned(4*time.Second, 12*time.Second) / 2
+			for r := range g.submitted(allKinds, 4*time.Second, 12*time.Second) {
+				if r.Returns > 0 {
+					back[i].addResult(r)
+				}
+			}
+		}
+	}
+	for i := range all {
+		t.Logf("on %v: all %+v, earned %.3f, returned %+v", i == 1, all[i], earned[i], back[i])
+	}
+	is.True(back[1].InTime+back[1].Late >= back[1].Asked/4)
+	is.True(float64(all[1].InTime) >= 0.98*float64(all[0].InTime))
+	is.True(earned[1] >= earned[0]-0.03) // one play's standard deviation is 0.02
+}
--- a/internal/tool/grid/grid.go
+++ b/internal/tool/grid/grid.go
@@ -49,6 +49,8 @@
 	// Resubmit makes callers submit again after a while if their VM dies or they find none, as the
 	// users' callers do. Such a job is counted once, from its first submission.
 	Resubmit bool
+	// Return makes callers come back after a refusal, when its answer says, while their time allows.
+	Return bool
 	// UnknownRetries is how often callers resubmit a job that ended as unknown.
 	UnknownRetries int
 	// CrashShare is the share of jobs with a task that crashes every endpoint that starts it.
--- a/internal/tool/grid/load.go
+++ b/internal/tool/grid/load.go
@@ -75,6 +75,7 @@
 	Objective time.Duration
 	Answer    job.Answer
 	Domain    string
+	Returns   int     // submissions after a refusal
 	Unsound   bool    // the job can't be done
 	Work      float64 // core-seconds
 }
@@ -188,6 +189,13 @@
 			lastKnown = res.Answer
 		}
 	}
+	for g.Return && res.Answer.Outcome == job.Refused && time.Since(startedAt)+res.Answer.Retry < left {
+		time.Sleep(res.Answer.Retry)
+		res.Returns++
+		if res.Answer = g.try(kind, j, domain, left-time.Since(startedAt)); res.Answer.Outcome != job.Refused {
+			lastKnown = res.Answer
+		}
+	}
 	for range g.UnknownRetries {
 		if lastKnown.Outcome != job.Unknown {
 			break
