--- a/internal/tool/grid/demand_test.go
+++ b/internal/tool/grid/demand_test.go
@@ -233,14 +233,14 @@
 	is := is.New(t)
 	var all, back [2]Count
 	var earned [2]float64
-	for seed := range uint64(2) {
+	for seed := range uint64(numSeeds) {
 		for i, on := range []bool{false, true} {
 			set := UserSetup(100)
 			set.Seed, set.Return, set.Options.Demand = seed+1, true, on
 			set.Rate = burst(2.5, 4*time.Second, 12*time.Second, urgent, long, plain)
 			g := simulate(t, set)
 			all[i].Add(g.Counts(allKinds, 4*time.Second, 12*time.Second))
-			earned[i] += g.Earned(4*time.Second, 12*time.Second) / 2
+			earned[i] += g.Earned(4*time.Second, 12*time.Second) / numSeeds
 			for r := range g.submitted(allKinds, 4*time.Second, 12*time.Second) {
 				if r.Returns > 0 {
 					back[i].addResult(r)
@@ -253,5 +253,6 @@
 	}
 	is.True(back[1].InTime+back[1].Late >= back[1].Asked/4)
 	is.True(float64(all[1].InTime) >= 0.98*float64(all[0].InTime))
+	is.True(all[1].Late <= all[0].Late)
 	is.True(earned[1] >= earned[0]-0.03) // one play's standard deviation is 0.02
 }
