Demand: jobs with constraints are tried as before

Cause: reports are of usual jobs, whose tasks run on any endpoint; a job that needs a label may have room where usual jobs wait, and was passed over.

--- a/internal/edge/serve/demand.go
+++ b/internal/edge/serve/demand.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"dahliawinch/internal/mesh/frame"
+	"dahliawinch/internal/task/batch"
 	"dahliawinch/internal/task/demand"
 	"dahliawinch/internal/task/job"
 )
@@ -154,12 +155,18 @@
 // skipped returns the owners that a call is not sent to: those that had it, and those that would refuse it by what they
 // report. The caller holds the lock.
 func (d *Node) skipped(now time.Time, c *call) []netip.AddrPort {
-	if d.demand == nil {
+	if d.demand == nil || !isPlain(c.job) {
 		return c.tried
 	}
 	return slices.Concat(c.tried, d.demand.Skip(now, d.ask(now, c)))
 }
 
+// isPlain reports whether a job's wait can be told from that of a usual one: its tasks run on any endpoint of the pool.
+func isPlain(j *batch.Job) bool {
+	s := &j.Steps[0]
+	return len(j.Steps) == 1 && s.Label == "" && s.Near == "" && s.Spread == 0 && !s.Gang && !s.SameRack
+}
+
 // refuseUntried refuses a call that no owner would take, and reports whether it has; the caller holds the lock.
 func (d *Node) refuseUntried(now time.Time, c *call) bool {
 	if d.demand == nil || c.answer.Reason != "" || d.routes.Known(now) == 0 || d.ownersMissing(now) {
--- a/internal/edge/serve/demand_test.go
+++ b/internal/edge/serve/demand_test.go
@@ -85,6 +85,8 @@
 	is.Equal(c.answer.Reason, job.Overload)
 	is.True(c.answer.Retry >= minRetry && c.answer.Retry <= 2*maxRetry)
 	is.Equal(len(mesh.sent), 0)
+	// A job that needs a label may have room where usual jobs wait.
+	is.Equal(len(d.skipped(d.now(), &call{job: &batch.Job{Steps: []batch.Step{{Count: 1, Label: "gpu"}}}})), 0)
 	hear(at(4), nil)
 	mesh.sent = nil
 	c = submit(2)
