Demand: the grid test states the spread of its figures as measured

Cause: the comments gave standard deviations that no run had measured. Change: the spread over eleven runs, and the loss of worth with callers that return. No threshold changes.

--- a/internal/tool/grid/demand_test.go
+++ b/internal/tool/grid/demand_test.go
@@ -111,7 +111,8 @@
 		t.Logf("on %v: %+v, earned %.3f, tries of refused %.2f, untried %d", i == 1, sum[i], earned[i], tries[i].meanTries(), tries[i].untried)
 	}
 	is.True(tries[1].meanTries() <= 1.3)
-	// The sum of four plays has a standard deviation of 0.4 % of the jobs in time and of a tenth of the late ones.
+	// Over eleven runs without the option, the sum of four seeds has a standard deviation of 0.7 % of the jobs in time
+	// and of 6 % of the late ones.
 	is.True(float64(sum[1].InTime) >= 0.99*float64(sum[0].InTime))
 	is.True(float64(sum[1].Late) <= 1.2*float64(sum[0].Late))
 	is.True(earned[1] >= earned[0]-0.02)
@@ -254,5 +255,5 @@
 	is.True(back[1].InTime+back[1].Late >= back[1].Asked/4)
 	is.True(float64(all[1].InTime) >= 0.98*float64(all[0].InTime))
 	is.True(all[1].Late <= all[0].Late)
-	is.True(earned[1] >= earned[0]-0.03) // one play's standard deviation is 0.02
+	is.True(earned[1] >= earned[0]-0.03) // 0.01 to 0.02 less in three runs: long jobs lose to shorter ones
 }
