--- a/internal/edge/serve/node.go
+++ b/internal/edge/serve/node.go
@@ -16,6 +16,7 @@
 	"dahliawinch/internal/mesh/frame"
 	"dahliawinch/internal/mesh/view"
 	"dahliawinch/internal/plat/feed"
+	"dahliawinch/internal/task/demand"
 	"dahliawinch/internal/task/learn"
 	"dahliawinch/internal/task/lease"
 	"dahliawinch/internal/task/owner"
@@ -101,22 +102,28 @@
 	// only the follower of the endpoints uses it.
 	vmsReadAfter time.Duration
 
-	mu           sync.Mutex // guards all fields below
-	scheduler    *owner.Scheduler
-	claims       *claim.Table
-	routes       *route.Table
-	calls        map[uint64]*call
-	byID         map[string]*call
-	partCalls    map[uint64]*call // by the call numbers of its parts
-	parked       []*call          // calls that wait until an owner is known
-	waits        learn.PriorWaits
-	askers       []netip.AddrPort // VMs that asked for a copy of the endpoints before they were known here
-	roster       *roster
-	missingSince map[string]time.Time // since when the entry of an endpoint is missing
-	aliveSince   map[netip.AddrPort]time.Time
-	wakes        map[string]chan struct{} // wakes the renewals of owned endpoints
-	sentLoad     owner.Load
-	loadSentAt   time.Time
+	mu        sync.Mutex // guards all fields below
+	scheduler *owner.Scheduler
+	claims    *claim.Table
+	routes    *route.Table
+	demand    *demand.View // nil unless the option is on
+	room      demand.Room  // what this VM told last, of roomAt
+	roomAt    time.Time
+	// pressureRange is the range of the pressure that was logged last, at rangeAt.
+	pressureRange string
+	rangeAt       time.Time
+	calls         map[uint64]*call
+	byID          map[string]*call
+	partCalls     map[uint64]*call // by the call numbers of its parts
+	parked        []*call          // calls that wait until an owner is known
+	waits         learn.PriorWaits
+	askers        []netip.AddrPort // VMs that asked for a copy of the endpoints before they were known here
+	roster        *roster
+	missingSince  map[string]time.Time // since when the entry of an endpoint is missing
+	aliveSince    map[netip.AddrPort]time.Time
+	wakes         map[string]chan struct{} // wakes the renewals of owned endpoints
+	sentLoad      owner.Load
+	loadSentAt    time.Time
 	// loadInterval is the shortest time from one load message to the next.
 	loadInterval  time.Duration
 	endpointsRead bool
@@ -151,8 +158,9 @@
 		pace: pace.New(minOrderWait, maxOrderWait), hasUnowned: true,
 		view: view.New(cfg.VM, cfg.Domain, now), claims: claim.New(cfg.VM, cfg.Domain, cfg.Cores, now),
 	}
+	d.initDemand()
 	d.scheduler = owner.New(owner.Config{Limits: cfg.Limits, RemoteFactor: cfg.RemoteFactor, VerdictDelay: lossReportDelay, Log: deps.Log, OrderDelay: d.pace.Expect, Outlived: deps.Meter.ObserveOutlived,
-		Speeds: cfg.Options.Speeds, Fill: cfg.Options.Fill, Shares: cfg.Options.rankShares()})
+		Speeds: cfg.Options.Speeds, Fill: cfg.Options.Fill, Shares: cfg.Options.rankShares(), Pressure: d.sharedPressure()})
 	d.ctx, d.cancel = context.WithCancel(ctx)
 	d.view.Links(remoteLinks)
 	d.initRelays()
--- a/internal/edge/serve/submit.go
+++ b/internal/edge/serve/submit.go
@@ -49,6 +49,8 @@
 	parts       *parts.Gather // the parts of the job if it is split; then owner is invalid
 	open        func() bool   // reports whether the caller's connection is open; may be nil
 	done        chan struct{}
+	refusals    int           // by owners that lacked room
+	refusedWait time.Duration // shortest wait that they reported
 	ended       bool
 	answer      job.Answer
 }
@@ -81,6 +83,7 @@
 		c.formerOwner = old.owner // which learns that the earlier call is over when it gets this one
 		d.finishCall(old, d.resubmitted())
 	}
+	d.recordDemand(now, c)
 	d.calls[c.n], d.byID[j.ID] = c, c
 	switch {
 	case wasSplit: // its parts are being cancelled at several owners
@@ -102,6 +105,7 @@
 		d.abandonCall(c, job.Answer{Outcome: job.Unknown, Reason: job.Deadline, Detail: "its time ran out"})
 	}
 	d.log.Info("answer", "job", j.ID, "queue", j.Queue, "outcome", c.answer.Outcome.String(), "reason", string(c.answer.Reason), "owner", c.owner, "tried", len(c.tried), "took", d.now().Sub(now).Round(time.Millisecond), "retry", c.answer.Retry, "detail", c.answer.Detail)
+	d.observeTries(c)
 	d.deps.Meter.ObserveJob(j.Queue, fmt.Sprint(j.Rank), &c.answer, d.now().Sub(now), 0)
 	return c.answer
 }
@@ -171,7 +175,7 @@
 		return
 	}
 	for len(c.tried) < route.MaxTries {
-		vm := d.routes.Pick(now, c.job.Rank, c.cores, c.tried, d.pace.MeanTime())
+		vm := d.routes.Pick(now, c.job.Rank, c.cores, d.skipped(now, c), d.pace.MeanTime())
 		if !vm.IsValid() {
 			break
 		}
@@ -188,6 +192,9 @@
 		}
 		return
 	}
+	if d.refuseUntried(now, c) {
+		return
+	}
 	a := c.answer
 	if (len(c.tried) == 0 || d.ownersMissing(now)) && now.Sub(c.arrived) < ownerWait && !d.claims.Deferring() {
 		c.tried, c.owner = c.tried[:0], netip.AddrPort{}
@@ -197,8 +204,7 @@
 	if len(c.tried) == 0 {
 		a = job.Answer{Outcome: job.Refused, Reason: job.NoEndpoint, Retry: time.Second, Detail: "no owner of endpoints is known"}
 	}
-	a.Retry = jitter(a.Retry)
-	d.finishCall(c, a)
+	d.refuseTried(now, c, a)
 }
 
 // assignTo gives a call to an owner; the caller holds the lock.
@@ -281,6 +287,7 @@
 			return
 		}
 		c.answer, c.formerOwner = a, netip.AddrPort{}
+		d.recordRefusal(now, c, a.Reason)
 		d.assign(now, c)
 		d.perform()
 		return
--- a/internal/task/owner/review.go
+++ b/internal/task/owner/review.go
@@ -93,6 +93,7 @@
 	case e.Begun: // other parts of the job have begun; its deadline ends it
 	case sc.lateWaitBudget(e, now) < 0:
 		sc.finish(now, e, job.Answer{Outcome: job.Refused, Reason: job.Overload, Retry: sc.waitBudget(e, e.arrived), Detail: "no room came free in time"})
+	case e.turn: // waits for as long as its answer is of use
 	case (e.late || sc.waitBudget(e, now) < 0) && sc.overloaded(now):
 		sc.finish(now, e, job.Answer{Outcome: job.Refused, Reason: job.Overload, Retry: sc.waitBudget(e, e.arrived), Detail: "no room came free in time for its objective"})
 	case !e.late && sc.waitBudget(e, now) < 0:
--- a/internal/task/owner/submit.go
+++ b/internal/task/owner/submit.go
@@ -50,7 +50,7 @@
 		e.late = true
 		wait = sc.forecast(now, e)
 	}
-	if e.late && sc.overloaded(now) {
+	if e.late && sc.overloaded(now) && !sc.takeTurn(now, e) {
 		sc.refuse(now, key, j, job.Overload, wait, "it would wait "+wait.Round(time.Millisecond).String()+", too long while more comes than can be done")
 		return
 	}
@@ -63,6 +63,7 @@
 
 func (sc *Scheduler) accept(now time.Time, e *entry, wait time.Duration) {
 	sc.cfg.Log.Info("job accepted", "job", e.ID, "by", e.key.VM, "queue", e.Queue, "rank", e.Rank, "tasks", e.Tasks(), "cores", e.Steps[0].Need.Cores, "work", sc.chain(e.Job), "wait", wait, "late", e.late, "left", e.TimeLeft, "waited", e.Waited)
+	sc.countTurn(e)
 	sc.jobs[e.key] = e
 	sc.byID[e.ID] = e
 	sc.enqueue(e)
