--- a/internal/tool/grid/share_test.go
+++ b/internal/tool/grid/share_test.go
@@ -13,9 +13,9 @@
 // heavyDay multiplies the load of all kinds by three for 7 s, and then that of the long kind by eight for 5 s.
 func heavyDay(kind int, at time.Duration) float64 {
 	switch {
-	case at >= heavyFrom && at < heavyTo:
+	case at >= sharesFrom && at < sharesTo:
 		return 3
-	case at >= heavyTo && at < heavyTo+5*time.Second && kind == long:
+	case at >= sharesTo && at < sharesTo+5*time.Second && kind == long:
 		return 8
 	default:
 		return 1
@@ -23,8 +23,8 @@
 }
 
 const (
-	heavyFrom = 3 * time.Second
-	heavyTo   = 10 * time.Second
+	sharesFrom = 3 * time.Second
+	sharesTo   = 10 * time.Second
 )
 
 // shareSetup returns a heavy day on which urgent and plain jobs alone ask for 1.5 times all cores, and the long ones for
@@ -52,12 +52,12 @@
 			use := measureUse(&set, "")
 			g := simulate(t, set)
 			use.learnJobs(g)
-			part, while := use.part(long, "", heavyFrom+settled, heavyTo)
-			later, _ := use.part(long, "", heavyTo+settled, heavyTo+5*time.Second)
+			part, while := use.part(long, "", sharesFrom+settled, sharesTo)
+			later, _ := use.part(long, "", sharesTo+settled, sharesTo+5*time.Second)
 			t.Logf("shares %v, seed %d: %.3f of the cores in %s with long work waiting, %.3f while only that is heavy", shares, seed+1, part, while, later)
-			logPerKind(t, g, heavyFrom, heavyTo)
+			logPerKind(t, g, sharesFrom, sharesTo)
 			mean[shares != nil] += part / seeds
-			long2[n].Add(g.Counts(long, heavyFrom, heavyTo))
+			long2[n].Add(g.Counts(long, sharesFrom, sharesTo))
 			is.True(later >= 0.37)
 		}
 	}
@@ -75,11 +75,11 @@
 	const seeds = 3
 	for seed := range uint64(seeds) {
 		set := shareSetup(seed+1, map[string]float64{"2": 0.4})
-		set.Faults = append(set.Faults, Fault{At: heavyFrom, Do: cutOff(heavyTo - heavyFrom)})
+		set.Faults = append(set.Faults, Fault{At: sharesFrom, Do: cutOff(sharesTo - sharesFrom)})
 		use := measureUse(&set, "fd-c")
 		g := simulate(t, set)
 		use.learnJobs(g)
-		part, while := use.part(long, "fd-c", heavyFrom+settled, heavyTo)
+		part, while := use.part(long, "fd-c", sharesFrom+settled, sharesTo)
 		t.Logf("seed %d: %.3f of the domain's cores in %s", seed+1, part, while)
 		sum += part / seeds
 	}
