--- /dev/null
+++ b/internal/task/lease/report.go
@@ -0,0 +1,113 @@
+package lease
+
+import (
+	"slices"
+	"time"
+)
+
+// ApplyReport applies the answer to a renewal that was sent at the given time. It returns
+// the runs that are over and the orphans to stop.
+func (e *Endpoint) ApplyReport(now, sent time.Time, r Report) (over []Finished, orphans []Orphan) {
+	if r.Born > 0 && r.Born < e.born { // an answer of a former process that one of the present has overtaken
+		return nil, nil
+	}
+	if e.Restarts(r) {
+		over = e.restart(r)
+	}
+	e.born = max(e.born, r.Born)
+	e.Silent, e.Missed = false, 0
+	e.clock, e.clockAt = r.Clock, now
+	e.unackedEnds = len(r.Ended) > 0
+	e.TakenOver = e.TakenOver || (!e.Synced && len(r.Running)+len(r.Ended) > 0)
+	over = append(over, e.applyEnds(r.Ended)...)
+	listed, orphans := e.applyRunning(now, r.Running)
+	for n := range e.orphans {
+		if !listed[n] {
+			delete(e.orphans, n)
+		}
+	}
+	// Renewing for new runs would also keep a former owner's runs alive, while their tasks
+	// are started again once that owner's lease must have expired. So nothing starts until they are gone.
+	e.Synced = e.Synced || len(e.orphans) == 0
+	for n, run := range e.Runs {
+		if !listed[n] && e.endedUnlisted(run, sent) {
+			e.end(run)
+			over = append(over, Finished{run, Gone})
+		}
+	}
+	return over, orphans
+}
+
+// applyEnds applies the listed ends that are new.
+func (e *Endpoint) applyEnds(ends []Ended) (over []Finished) {
+	for _, x := range ends {
+		if x.Serial <= e.Cursor {
+			continue // already applied from a later answer
+		}
+		e.Cursor = x.Serial
+		n := RunID{x.Name, x.Num}
+		delete(e.orphans, n)
+		if run := e.Runs[n]; run != nil {
+			e.end(run)
+			over = append(over, Finished{run, x.State})
+		}
+	}
+	return over
+}
+
+// applyRunning applies the list of what runs, and returns it with the orphans to stop.
+func (e *Endpoint) applyRunning(now time.Time, running []Listed) (listed map[RunID]bool, orphans []Orphan) {
+	listed = make(map[RunID]bool, len(running))
+	for _, x := range running {
+		n := RunID{x.Name, x.Num}
+		listed[n] = true
+		if run := e.Runs[n]; run != nil {
+			if x.Percent > run.Percent {
+				run.Advanced = now
+			}
+			run.Percent, run.LastSeen = x.Percent, now
+			if run.Stage == Sent {
+				run.Stage = Running
+			}
+			continue
+		}
+		if at, ok := e.orphans[n]; !ok || now.Sub(at) >= orphanRetry {
+			e.orphans[n] = now
+			orphans = append(orphans, n)
+		}
+	}
+	return listed, orphans
+}
+
+// restart applies that the endpoint has started again under its ID. It runs nothing of before, and the serials of its ends
+// begin again: with the former cursor, its owner would acknowledge ends that it has not seen, and every run would seem
+// lost. Starts without an answer may still reach the new process.
+func (e *Endpoint) restart(r Report) (over []Finished) {
+	e.Cursor = 0
+	clear(e.orphans)
+	for n, run := range e.Runs {
+		listed := slices.ContainsFunc(r.Running, func(x Listed) bool { return x.Name == n.Task && x.Num == n.Num })
+		if run.Stage != Running || listed {
+			continue
+		}
+		e.end(run)
+		over = append(over, Finished{run, Died})
+	}
+	return over
+}
+
+// Restarts reports whether a report is that of a newer process than the last one.
+func (e *Endpoint) Restarts(r Report) bool { return e.born > 0 && r.Born > e.born }
+
+// endedUnlisted reports whether a run that an answer doesn't list is certainly over: the run
+// or its stop had been confirmed before the renewal was sent.
+func (e *Endpoint) endedUnlisted(r *Run, sent time.Time) bool {
+	switch r.Stage {
+	case Running:
+		return r.LastSeen.Before(sent)
+	case Stopping:
+		return !r.stoppedAt.IsZero() && r.stoppedAt.Before(sent)
+	default:
+		return false
+	}
+}
