Split: one constant for the owners that are asked

Cause: the same number stood in two packages, tied by an expression that a reader stumbles over. No change in behavior; the tests of parts and serve pass.

--- a/internal/edge/serve/split.go
+++ b/internal/edge/serve/split.go
@@ -125,7 +125,7 @@
 	if c.hasLeft() {
 		return c.parts.End(callerLeft)
 	}
-	for len(p.Tried) < parts.MaxTries {
+	for len(p.Tried) < route.MaxTries {
 		holders := c.parts.Holders(p)
 		not := slices.Concat(p.Tried, holders, d.routes.Owners(now, func(vm netip.AddrPort) bool { return !d.readsParts(vm) }))
 		vm := d.routes.Pick(now, c.job.Rank, float64(p.Count)*c.job.Steps[0].Need.Cores, not, d.pace.MeanTime())
@@ -234,6 +234,3 @@
 	}
 	return hashes
 }
-
-// A part is tried at as many owners as a whole job.
-var _ = [1]struct{}{}[parts.MaxTries-route.MaxTries]
--- a/internal/task/parts/gather_test.go
+++ b/internal/task/parts/gather_test.go
@@ -13,6 +13,9 @@
 
 var t0 = time.Unix(1_700_000_000, 0)
 
+// maxTries is how many owners are asked to take a part; see route.MaxTries.
+const maxTries = 4
+
 // twoParts returns a job of five tasks at two owners, with the calls 1 and 2.
 func twoParts() *Gather {
 	n := uint64(0)
@@ -108,7 +111,7 @@
 		o.t.Fatalf("part %d moves while %s has it", p.Call, vm)
 	}
 	not := append(o.g.Holders(p), p.Tried...)
-	for n := 1; n <= 6 && len(p.Tried) < MaxTries; n++ {
+	for n := 1; n <= 6 && len(p.Tried) < maxTries; n++ {
 		to, free := vm(n), true
 		for _, x := range not {
 			free = free && x != to
--- a/internal/task/parts/plan.go
+++ b/internal/task/parts/plan.go
@@ -25,9 +25,6 @@
 // maxParts bounds the parts of a job, and with it the time that a plan takes: 0.1 ms for 520 tasks and 135 owners.
 const maxParts = 16
 
-// MaxTries is how many owners are asked to take one part. It equals route.MaxTries, the number for a whole job.
-const MaxTries = 4
-
 // Room is what an owner is expected to have for the tasks of a job, by its latest load report.
 type Room struct {
 	VM     netip.AddrPort
