--- a/internal/tool/grid/grid.go
+++ b/internal/tool/grid/grid.go
@@ -127,6 +127,9 @@
 		cuts: map[[2]string]bool{}, healsAt: map[[2]string]time.Time{}, storeCut: map[string]bool{}, rejected: map[netip.AddrPort]bool{}, endpoints: map[string]*fakes.Leased{},
 	}
 	g.ctx, g.cancel = context.WithCancel(context.Background())
+	if g.Log != nil {
+		g.Log = &lockedWriter{w: g.Log}
+	}
 	g.build()
 	for _, f := range set.Faults {
 		g.wg.Add(1)
