Review: case 2, gangs are started in part after a job that can't be done

Cause: gangFits counts places by free cores alone, while pick also obeys the health limit that a failed task leaves on a worker, so only a part of a gang is started.

--- a/review/driver/main.go
+++ b/review/driver/main.go
@@ -22,6 +22,7 @@
 }
 
 var scenarios = map[string]scenario{
+	"gang":   {gangConfig, playGang},
 	"cancel": {cancelConfig, playCancel},
 }
 
