Review: case 3, a worker's new labels are not taken over

Cause: Scheduler.Update takes over only the room and the draining of a newer entry, so a worker that comes back under its ID as one of another kind goes on to get tasks that require the former kind (rule ROUTE).

Change: a script with the same stand-ins; the driver ends its processes when it is told to end. No change outside review/.

--- a/review/driver/deploy.go
+++ b/review/driver/deploy.go
@@ -8,8 +8,11 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
+	"sync"
+	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -53,6 +56,7 @@
 	machines []*machine
 	dir      string
 	done     chan struct{}
+	stopOnce sync.Once
 }
 
 // startDeployment starts a deployment and returns at the start of traffic.
@@ -62,6 +66,7 @@
 		return nil, fmt.Errorf("start deployment: %w", err)
 	}
 	d := &deployment{rec: rec, world: newWorld(rec), store: stand.NewStore(), dir: dir, done: make(chan struct{})}
+	go d.stopOnSignal()
 	if err := d.start(c); err != nil {
 		d.stop()
 		return nil, err
@@ -195,8 +200,19 @@
 	return nil
 }
 
+// stopOnSignal ends all processes when this one is told to end.
+func (d *deployment) stopOnSignal() {
+	c := make(chan os.Signal, 1)
+	signal.Notify(c, syscall.SIGINT, syscall.SIGTERM)
+	<-c
+	d.stop()
+	os.Exit(exitUnable)
+}
+
 // stop ends all processes and removes the temporary folder, unless KEEP is set.
-func (d *deployment) stop() {
+func (d *deployment) stop() { d.stopOnce.Do(d.stopNow) }
+
+func (d *deployment) stopNow() {
 	close(d.done)
 	for _, m := range d.machines {
 		_ = m.cmd.Process.Kill()
--- a/review/driver/main.go
+++ b/review/driver/main.go
@@ -24,6 +24,7 @@
 var scenarios = map[string]scenario{
 	"gang":   {gangConfig, playGang},
 	"cancel": {cancelConfig, playCancel},
+	"kind":   {kindConfig, playKind},
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
