--- a/review/driver/gang.go
+++ b/review/driver/gang.go
@@ -19,7 +19,7 @@
 	jobPause   = 37 * time.Millisecond // 80 jobs in 3 s
 )
 
-// playGang submits usual jobs, the last twentieth of which can never be done, and then one gang at each machine.
+// playGang submits usual jobs, the last twentieth of which can never be done, and then a gang at every second machine.
 func playGang(d *deployment, trouble bool) (broken []string, err error) {
 	var wg sync.WaitGroup
 	for i := range usualJobs {
@@ -33,8 +33,9 @@
 		time.Sleep(jobPause)
 	}
 	wg.Wait()
-	gangs, answers := make([]*job, len(d.machines)), make([]answer, len(d.machines))
-	for i, m := range d.machines {
+	gangs, answers := make([]*job, len(d.machines)/2), make([]answer, len(d.machines)/2)
+	for i := range gangs {
+		m := d.machines[2*i]
 		w := work{Ms: 900, CPU: 8000, Gang: gangTasks}
 		gangs[i] = newJob(queues[2], w, step{Count: gangTasks, CPU: w.CPU, Mem: 64, Estimate: 900, Gang: true})
 		wg.Go(func() { answers[i] = d.post(m, gangs[i], gangDeadline) })
