--- a/review/driver/kind.go
+++ b/review/driver/kind.go
@@ -14,7 +14,7 @@
 	kindPause = 100 * time.Millisecond
 	kindTime  = 20 * time.Second
 	crashAt   = 4 * time.Second
-	darkFor   = 1400 * time.Millisecond
+	darkFor   = 700 * time.Millisecond // half a period of srv_flap
 	// noticeMax is how long after its new entry was stored a worker's new kind may go unnoticed: drain_ms, the bound that
 	// the pages set for another change of a worker's entry. The rule itself allows no time.
 	noticeMax = 3 * time.Second
