Review: case 2 spreads its hopeless jobs over the three seconds

Cause: four of them one after the other are a twentieth of the 3 s, but more than that in their own moment.

Change: one of them at each machine, spread over the 3 s.

--- a/review/driver/gang.go
+++ b/review/driver/gang.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -13,19 +14,20 @@
 const (
 	gangTasks    = 16
 	gangDeadline = 10 * time.Second
-	// usualJobs are the jobs before the gangs; poisonJobs of them can never be done, a twentieth.
-	usualJobs  = 80
-	poisonJobs = 4
-	jobPause   = 37 * time.Millisecond // 80 jobs in 3 s
+	usualJobs    = 80                    // before the gangs
+	jobPause     = 37 * time.Millisecond // 80 jobs in 3 s
 )
 
-// playGang submits usual jobs, the last twentieth of which can never be done, and then a gang at every second machine.
+// poisonJobs are the usual jobs that can never be done, a twentieth, one at each machine.
+var poisonJobs = []int{17, 38, 55, 72}
+
+// playGang submits usual jobs, a twentieth of which can never be done, and then a gang at every second machine.
 func playGang(d *deployment, trouble bool) (broken []string, err error) {
 	var wg sync.WaitGroup
 	for i := range usualJobs {
 		w := work{Ms: 60, CPU: 8000}
 		n := 4
-		if i >= usualJobs-poisonJobs && trouble {
+		if slices.Contains(poisonJobs, i) && trouble {
 			w.Fail, n = true, 1
 		}
 		j := newJob(queues[0], w, step{Count: n, CPU: w.CPU, Mem: 64, Estimate: 60})
