--- /dev/null
+++ b/review/rig/freeze.go
@@ -0,0 +1,73 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// playFreeze hands in jobs and cancels them 0.5 s later. With the disruption the daemon stands still
+// for 3.5 s meanwhile, so that it finds both requests when it wakes.
+func playFreeze(s *site, trouble bool) (breaks []string, err error) {
+	for _, z := range zones {
+		for k := range 6 {
+			if err := s.addWorker(fmt.Sprintf("w-%s-%d", z, k), z, 64000); err != nil {
+				return nil, err
+			}
+		}
+	}
+	s.configure(3, route{"/sheet/", 1})
+	if err := s.run(); err != nil {
+		return nil, err
+	}
+	acked := map[string]time.Time{}
+	var limit time.Time
+	s.world.onStart = func(w *worker, r *run) {
+		if at, ok := acked[r.job]; ok && time.Since(at) > cancelWithin && time.Now().After(limit) {
+			breaks = append(breaks, fmt.Sprintf("UNASKED: %s started %s at %.1f s after the acknowledgement of the cancelling", w.id, r.task, time.Since(at).Seconds()))
+		}
+	}
+	v := s.vms[0]
+	var steps []taskDef
+	for i := range 10 {
+		d := taskDef{Count: 1, CPU: 2000, Run: 700 * time.Millisecond}
+		if i > 0 {
+			d.After = []int{i - 1}
+		}
+		steps = append(steps, d)
+	}
+	if trouble {
+		v.signal(syscall.SIGSTOP)
+		s.rec.add("%s: SIGSTOP", v.name)
+	}
+	var wg sync.WaitGroup
+	for n := range 30 {
+		id := jobID(1, n)
+		wg.Go(func() { s.submit(v.caller, "/sheet/", id, steps, 14*time.Second) })
+		wg.Go(func() {
+			time.Sleep(500 * time.Millisecond)
+			a := s.call(http.MethodDelete, v.caller, "/sheet/"+id, nil, 8*time.Second)
+			s.rec.add("client: DELETE %s -> %s", id, a)
+			if a.status/100 == 2 || a.status == http.StatusGone {
+				s.world.mu.Lock()
+				acked[id] = time.Now()
+				s.world.mu.Unlock()
+			}
+		})
+		time.Sleep(20 * time.Millisecond)
+	}
+	time.Sleep(3300 * time.Millisecond)
+	if trouble {
+		s.world.mu.Lock()
+		limit = time.Now().Add(contact)
+		s.world.mu.Unlock()
+		v.signal(syscall.SIGCONT)
+		s.rec.add("%s: SIGCONT", v.name)
+	}
+	wg.Wait()
+	s.world.mu.Lock()
+	defer s.world.mu.Unlock()
+	return breaks, nil
+}
--- a/review/rig/gang.go
+++ b/review/rig/gang.go
@@ -19,54 +19,17 @@
 	}
 }
 
-// checksPerGang is how many small jobs of a zone come before its gang.
-const checksPerGang = 20
-
-// playGangStrikes plays a queue of small jobs beside gangs. With the disruption, one small job in
-// twenty can never be done.
-func playGangStrikes(s *site, trouble bool) (breaks []string, err error) {
-	for _, z := range zones {
-		if err := s.addWorker("w-"+z, z, 8000); err != nil {
-			return nil, err
-		}
-	}
-	s.configure(route{"/check/", 0}, route{"/solve/", 1})
-	s.countAlone(&breaks)
-	if err := s.run(); err != nil {
-		return nil, err
-	}
-	var wg sync.WaitGroup
-	for i, z := range zones {
-		wg.Go(func() {
-			v := s.vms[2*i]
-			for n := range checksPerGang {
-				fails := trouble && n == checksPerGang-1 // one in twenty
-				a := s.submit(v.caller, "/check/", jobID(1+i, n), []taskDef{{Count: 1, CPU: 1000, Run: 200 * time.Millisecond, Fails: fails}}, 10*time.Second)
-				if want := map[bool]string{false: "complete", true: "failed"}[fails]; a.state != want {
-					s.rec.add("client of %s: a small job ended with %s", z, a)
-				}
-			}
-			time.Sleep(150 * time.Millisecond)
-			s.submit(v.caller, "/solve/", jobID(0x100, i), []taskDef{{Count: 8, CPU: 1000, Run: 1500 * time.Millisecond, Gang: true}}, 10*time.Second)
-		})
-	}
-	wg.Wait()
-	s.world.mu.Lock()
-	defer s.world.mu.Unlock()
-	return breaks, nil
-}
-
 // playGangConns hands in a gang while the workers are full. With the disruption an empty worker is
 // added, which is half as large again as the others and has room for all of the gang.
 func playGangConns(s *site, trouble bool) (breaks []string, err error) {
 	for _, z := range zones {
 		for k := range 2 {
-			if err := s.addWorker(fmt.Sprintf("w-%s-%d", z, k), z, 20000); err != nil {
+			if err := s.addWorker(fmt.Sprintf("w-%s-%d", z, k), z, 22000); err != nil {
 				return nil, err
 			}
 		}
 	}
-	s.configure(route{"/check/", 0}, route{"/solve/", 1})
+	s.configure(3, route{"/check/", 0}, route{"/solve/", 1})
 	s.countAlone(&breaks)
 	if err := s.run(); err != nil {
 		return nil, err
@@ -74,18 +37,18 @@
 	var wg sync.WaitGroup
 	for n := range 2 * len(zones) {
 		wg.Go(func() {
-			s.submit(s.vms[n].caller, "/check/", jobID(1, n), []taskDef{{Count: 1, CPU: 20000, Run: 15 * time.Second}}, 25*time.Second)
+			s.submit(s.vms[n].caller, "/check/", jobID(1, n), []taskDef{{Count: 1, CPU: 22000, Run: 15 * time.Second}}, 25*time.Second)
 		})
 		time.Sleep(200 * time.Millisecond)
 	}
 	if trouble {
-		if err := s.addWorker("w-new", "za", 30000); err != nil {
+		if err := s.addWorker("w-new", "za", 33000); err != nil {
 			return nil, err
 		}
 	}
 	time.Sleep(2 * time.Second)
 	for range 20 { // a refused job comes again until there is room
-		a := s.submit(s.vms[0].caller, "/solve/", jobID(2, 1), []taskDef{{Count: 30, CPU: 1000, Run: 1500 * time.Millisecond, Gang: true}}, 14*time.Second)
+		a := s.submit(s.vms[0].caller, "/solve/", jobID(2, 1), []taskDef{{Count: 33, CPU: 1000, Run: 1500 * time.Millisecond, Gang: true}}, 14*time.Second)
 		if a.status != http.StatusServiceUnavailable && a.status != http.StatusTooManyRequests {
 			break
 		}
@@ -105,7 +68,7 @@
 			return nil, err
 		}
 	}
-	s.configure(route{"/check/", 0}, route{"/solve/", 1})
+	s.configure(3, route{"/check/", 0}, route{"/solve/", 1})
 	var calm time.Time // from then on no disruption is near
 	s.world.onEnd = func(w *worker, r *run, how string) {
 		if how == "alone" && (calm.IsZero() || r.began.After(calm)) {
--- a/review/rig/site.go
+++ b/review/rig/site.go
@@ -136,7 +136,7 @@
 }
 
 // configure writes the operator's configuration.
-func (s *site) configure(routes ...route) {
+func (s *site) configure(version int, routes ...route) {
 	rs := []map[string]any{}
 	for i, r := range routes {
 		rs = append(rs, map[string]any{
@@ -145,7 +145,7 @@
 		})
 	}
 	text, err := json.Marshal(map[string]any{
-		"version": 3, "routes": rs,
+		"version": version, "routes": rs,
 		"services": []map[string]any{{"name": service, "health_path": "/healthz", "max_conns": 64, "protocol": "h1", "tls": false, "admission_control": true, "standby": false}},
 		"limits":   map[string]int{"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 	})
@@ -153,22 +153,16 @@
 		panic(err) // plain values
 	}
 	s.store.Put(stand.Operator, "config", text)
-	s.rec.add("operator: the configuration is in the store")
+	s.rec.add("operator: version %d is in the store", version)
 }
 
-// addWorker starts a worker of kind-a that reports itself to the store.
+// addWorker starts a worker that reports itself to the store.
 func (s *site) addWorker(id, zone string, cpu int) error {
 	w, err := s.world.newWorker(id, zone, cpu)
 	if err != nil {
 		return err
 	}
-	s.report(w)
-	return nil
-}
-
-// report reports a worker to the store until it crashes.
-func (s *site) report(w *worker) {
-	s.rec.add("worker %s at %s in %s, %s, %d cores", w.id, w.addr, w.zone, w.kind, w.cpu/1000)
+	s.rec.add("worker %s at %s in %s, %d cores", w.id, w.addr, w.zone, w.cpu/1000)
 	s.store.Put(stand.Workers, w.id, w.entry())
 	go func() {
 		t := time.NewTicker(reportGap)
@@ -176,14 +170,13 @@
 		for {
 			select {
 			case <-t.C:
-				if !w.down.Load() {
-					s.store.Put(stand.Workers, w.id, w.entry())
-				}
+				s.store.Put(stand.Workers, w.id, w.entry())
 			case <-s.done:
 				return
 			}
 		}
 	}()
+	return nil
 }
 
 // run starts all daemons and waits until each is ready and the machines have run for a while.
@@ -286,16 +279,15 @@
 // jobBody is the body of a POST.
 func jobBody(spec string, steps []taskDef) []byte {
 	type step struct {
-		Count    int    `json:"count"`
-		CPU      int    `json:"cpu"`
-		Estimate int64  `json:"estimate_ms"`
-		After    []int  `json:"after,omitempty"`
-		Gang     bool   `json:"gang,omitempty"`
-		Requires string `json:"requires,omitempty"`
+		Count    int   `json:"count"`
+		CPU      int   `json:"cpu"`
+		Estimate int64 `json:"estimate_ms"`
+		After    []int `json:"after,omitempty"`
+		Gang     bool  `json:"gang,omitempty"`
 	}
 	all := []step{}
 	for _, d := range steps {
-		all = append(all, step{d.Count, d.CPU, d.Run.Milliseconds(), d.After, d.Gang, d.Requires})
+		all = append(all, step{d.Count, d.CPU, d.Run.Milliseconds(), d.After, d.Gang})
 	}
 	text, err := json.Marshal(map[string]any{"spec": spec, "best_effort": true, "steps": all})
 	if err != nil {
--- a/review/rig/worker.go
+++ b/review/rig/worker.go
@@ -9,7 +9,6 @@
 	"sort"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
@@ -30,8 +29,6 @@
 	Gang  bool
 	Fails bool // each run ends failed by the task's own fault
 	After []int
-	// Requires is a label that the worker must have.
-	Requires string
 }
 
 // world holds what all workers share: the clients' jobs and the gangs.
@@ -76,15 +73,12 @@
 	num  int
 }
 
-// worker is one life of a worker that guards its capacity.
+// worker is a worker that guards its capacity.
 type worker struct {
 	world    *world
 	id, zone string
 	cpu      int
-	kind     string
 	addr     string
-	srv      *http.Server
-	down     atomic.Bool
 	boot     time.Time
 
 	fence  uint64
@@ -114,46 +108,11 @@
 	if err != nil {
 		return nil, fmt.Errorf("worker %s: %w", id, err)
 	}
-	w := &worker{world: x, id: id, zone: zone, cpu: cpu, kind: "kind-a", addr: l.Addr().String(), boot: time.Now(), runs: map[runKey]*run{}, past: map[string]int{}, news: make(chan struct{})}
-	w.serve(l)
+	w := &worker{world: x, id: id, zone: zone, cpu: cpu, addr: l.Addr().String(), boot: time.Now(), runs: map[runKey]*run{}, past: map[string]int{}, news: make(chan struct{})}
+	go func() { _ = http.Serve(l, w) }()
 	return w, nil
 }
 
-func (w *worker) serve(l net.Listener) {
-	w.srv = &http.Server{Handler: w}
-	go func() { _ = w.srv.Serve(l) }()
-}
-
-// crash ends the worker's process.
-func (w *worker) crash() {
-	w.down.Store(true)
-	_ = w.srv.Close()
-	w.world.mu.Lock()
-	defer w.world.mu.Unlock()
-	for _, r := range w.sorted() {
-		r.timer.Stop()
-		w.world.rec.add("%s loses %s run %d", w.id, r.task, r.num)
-	}
-	clear(w.runs)
-	w.world.rec.add("%s crashed", w.id)
-}
-
-// restart starts the worker again under its ID and at its address, as one of another kind. It knows
-// nothing of before.
-func (w *worker) restart(kind string) error {
-	l, err := net.Listen("tcp", w.addr)
-	if err != nil {
-		return fmt.Errorf("worker %s: %w", w.id, err)
-	}
-	w.world.mu.Lock()
-	defer w.world.mu.Unlock()
-	w.kind, w.boot, w.fence, w.until, w.past, w.ends, w.serial, w.seq = kind, time.Now(), 0, time.Time{}, map[string]int{}, nil, 0, 0
-	w.world.rec.add("%s is back as %s", w.id, kind)
-	w.serve(l)
-	w.down.Store(false)
-	return nil
-}
-
 // entry returns the worker's report about itself.
 func (w *worker) entry() []byte {
 	w.world.mu.Lock()
@@ -161,7 +120,7 @@
 	w.seq++
 	text, err := json.Marshal(map[string]any{
 		"service": service, "address": w.addr, "zone": w.zone, "version": "1", "slots": 8, "state": "ready", "cold_remaining_ms": 0, "seq": w.seq, "born": w.boot.UnixMilli(),
-		"capacity": map[string]int{"cpu": w.cpu, "mem_mb": 65536, "gpu": 0}, "labels": []string{w.kind, "rack-" + w.zone},
+		"capacity": map[string]int{"cpu": w.cpu, "mem_mb": 65536, "gpu": 0}, "labels": []string{"kind-a", "rack-" + w.zone},
 	})
 	if err != nil {
 		panic(err) // plain values
