review: case 4, a late order runs a task twice after its worker has started again

Cause: lease.Endpoint.restart takes a confirmed run as over for good, though an order to start it that was left unanswered may still reach the new process of the same ID.

--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -33,7 +33,7 @@
 // play is a case: it plays the disruption if trouble is set, and returns the breaks of the rule.
 type play func(s *site, trouble bool) (breaks []string, err error)
 
-var plays = map[string]play{"dropped": playDropped, "freeze": playFreeze, "gang-numbers": playGangNumbers, "gang-conns": playGangConns}
+var plays = map[string]play{"dropped": playDropped, "reborn": playReborn, "freeze": playFreeze, "gang-numbers": playGangNumbers, "gang-conns": playGangConns}
 
 const (
 	exitHeld   = 0
--- a/review/rig/site.go
+++ b/review/rig/site.go
@@ -49,6 +49,7 @@
 	dir   string
 	net   int // second byte of the machines' addresses, so that cases played at once don't meet
 	vms   []*vm
+	fleet []*worker
 	stops []func()
 	done  chan struct{}
 }
@@ -162,6 +163,7 @@
 	if err != nil {
 		return err
 	}
+	s.fleet = append(s.fleet, w)
 	s.rec.add("worker %s at %s in %s, %d cores", w.id, w.addr, w.zone, w.cpu/1000)
 	s.store.Put(stand.Workers, w.id, w.entry())
 	go func() {
@@ -170,7 +172,9 @@
 		for {
 			select {
 			case <-t.C:
-				s.store.Put(stand.Workers, w.id, w.entry())
+				if !w.down.Load() {
+					s.store.Put(stand.Workers, w.id, w.entry())
+				}
 			case <-s.done:
 				return
 			}
--- a/review/rig/worker.go
+++ b/review/rig/worker.go
@@ -9,6 +9,7 @@
 	"sort"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -18,6 +19,8 @@
 	stopTime  = 50 * time.Millisecond
 	gangWait  = 3 * time.Second
 	linkDelay = time.Millisecond // one way between a daemon and a worker
+	// lateBy is how late a late order is carried out; the pages say 2 to 12 s.
+	lateBy    = 4 * time.Second
 	reportGap = 1500 * time.Millisecond
 )
 
@@ -39,7 +42,9 @@
 	gangs map[string]*gang // by step and run number
 	// onStart and onEnd are called with the lock held.
 	onStart func(w *worker, r *run)
-	onEnd   func(w *worker, r *run, how string)
+	// late tells whether an order to start is carried out late.
+	late  func(w *worker, o workerCall) bool
+	onEnd func(w *worker, r *run, how string)
 }
 
 type gang struct {
@@ -79,6 +84,8 @@
 	id, zone string
 	cpu      int
 	addr     string
+	srv      *http.Server
+	down     atomic.Bool
 	boot     time.Time
 
 	fence  uint64
@@ -92,7 +99,7 @@
 }
 
 func newWorld(rec *record) *world {
-	return &world{rec: rec, jobs: map[string][]taskDef{}, gangs: map[string]*gang{}, onStart: func(*worker, *run) {}, onEnd: func(*worker, *run, string) {}}
+	return &world{rec: rec, jobs: map[string][]taskDef{}, gangs: map[string]*gang{}, onStart: func(*worker, *run) {}, onEnd: func(*worker, *run, string) {}, late: func(*worker, workerCall) bool { return false }}
 }
 
 // addJob makes the tasks of a job known to the workers.
@@ -109,10 +116,46 @@
 		return nil, fmt.Errorf("worker %s: %w", id, err)
 	}
 	w := &worker{world: x, id: id, zone: zone, cpu: cpu, addr: l.Addr().String(), boot: time.Now(), runs: map[runKey]*run{}, past: map[string]int{}, news: make(chan struct{})}
-	go func() { _ = http.Serve(l, w) }()
+	w.serve(l)
 	return w, nil
 }
 
+func (w *worker) serve(l net.Listener) {
+	w.srv = &http.Server{Handler: w}
+	go func() { _ = w.srv.Serve(l) }()
+}
+
+// crash ends the worker's process and everything that runs there.
+func (w *worker) crash() {
+	w.down.Store(true)
+	_ = w.srv.Close()
+	w.world.mu.Lock()
+	defer w.world.mu.Unlock()
+	for _, r := range w.sorted() {
+		r.timer.Stop()
+		delete(w.runs, runKey{r.task, r.num})
+		w.world.rec.add("%s loses %s run %d", w.id, r.task, r.num)
+		w.world.onEnd(w, r, "lost")
+	}
+	w.world.rec.add("%s is down", w.id)
+}
+
+// restart starts the worker again under its ID and at its address. It knows nothing of before, and
+// its clock and its counts start anew.
+func (w *worker) restart() error {
+	l, err := net.Listen("tcp", w.addr)
+	if err != nil {
+		return fmt.Errorf("worker %s: %w", w.id, err)
+	}
+	w.world.mu.Lock()
+	w.boot, w.fence, w.until, w.past, w.ends, w.serial, w.seq = time.Now(), 0, time.Time{}, map[string]int{}, nil, 0, 0
+	w.world.rec.add("%s is up again", w.id)
+	w.world.mu.Unlock()
+	w.down.Store(false)
+	w.serve(l)
+	return nil
+}
+
 // entry returns the worker's report about itself.
 func (w *worker) entry() []byte {
 	w.world.mu.Lock()
@@ -151,6 +194,17 @@
 		rw.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if x := w.world; r.URL.Path == "/v1/run-start" && x.late(w, o) {
+		x.rec.add("%s gets the order to start %s run %d and leaves it unanswered for %s", w.id, o.Task, o.Run, lateBy)
+		time.AfterFunc(lateBy, func() {
+			if !w.down.Load() {
+				status, answer := w.start(o)
+				x.rec.add("%s carries the late order to start %s run %d out: %d %v", w.id, o.Task, o.Run, status, answer["reason"])
+			}
+		})
+		<-r.Context().Done()
+		return
+	}
 	var status int
 	var answer map[string]any
 	switch r.URL.Path {
