review: case 6 sends each DELETE 80 ms after its POST

Cause: with half a second between them and all POSTs first, the order on waking depended on the number of processors; on one it held once. Change: POST and DELETE of a job lie side by side in the daemon's backlog.

--- a/review/rig/freeze.go
+++ b/review/rig/freeze.go
@@ -8,8 +8,15 @@
 	"time"
 )
 
-// playFreeze hands in jobs and cancels them 0.5 s later. With the disruption the daemon stands still
-// for 3.5 s meanwhile, so that it finds both requests when it wakes.
+const (
+	// cancelAfter is how long after its POST a client sends the DELETE, and nextAfter how long after it
+	// the next client sends its POST.
+	cancelAfter = 80 * time.Millisecond
+	nextAfter   = 120 * time.Millisecond
+)
+
+// playFreeze hands in jobs and cancels each a moment later. With the disruption the daemon stands still
+// meanwhile, so that it finds all requests when it wakes.
 func playFreeze(s *site, trouble bool) (breaks []string, err error) {
 	for _, z := range zones {
 		for k := range 6 {
@@ -47,7 +54,7 @@
 		id := jobID(1, n)
 		wg.Go(func() { s.submit(v.caller, "/sheet/", id, steps, 14*time.Second) })
 		wg.Go(func() {
-			time.Sleep(500 * time.Millisecond)
+			time.Sleep(cancelAfter)
 			a := s.call(http.MethodDelete, v.caller, "/sheet/"+id, nil, 8*time.Second)
 			s.rec.add("client: DELETE %s -> %s", id, a)
 			if a.status/100 == 2 || a.status == http.StatusGone {
@@ -56,9 +63,9 @@
 				s.world.mu.Unlock()
 			}
 		})
-		time.Sleep(20 * time.Millisecond)
+		time.Sleep(nextAfter)
 	}
-	time.Sleep(3300 * time.Millisecond)
+	time.Sleep(200 * time.Millisecond)
 	if trouble {
 		s.world.mu.Lock()
 		limit = time.Now().Add(contact)
