--- a/review/rig/worker.go
+++ b/review/rig/worker.go
@@ -18,7 +18,8 @@
 	holdMax   = time.Second
 	stopTime  = 50 * time.Millisecond
 	gangWait  = 3 * time.Second
-	linkDelay = time.Millisecond // one way between a daemon and a worker
+	linkDelay = time.Millisecond     // one way between a daemon and a worker
+	startTime = 5 * time.Millisecond // until a worker answers an order to start
 	// lateBy is how late a late order is carried out; the pages say 2 to 12 s.
 	lateBy    = 4 * time.Second
 	reportGap = 1500 * time.Millisecond
@@ -209,6 +210,7 @@
 	var answer map[string]any
 	switch r.URL.Path {
 	case "/v1/run-start":
+		time.Sleep(startTime)
 		status, answer = w.start(o)
 	case "/v1/run-stop":
 		status, answer = w.stop(o)
