--- a/review/rig/worker.go
+++ b/review/rig/worker.go
@@ -31,7 +31,6 @@
 	CPU   int           // thousandths of a core
 	Run   time.Duration // on a sound worker
 	Gang  bool
-	Fails bool // each run ends failed by the task's own fault
 	After []int
 }
 
@@ -43,9 +42,9 @@
 	gangs map[string]*gang // by step and run number
 	// onStart and onEnd are called with the lock held.
 	onStart func(w *worker, r *run)
+	onEnd   func(w *worker, r *run, how string)
 	// late tells whether an order to start is carried out late.
-	late  func(w *worker, o workerCall) bool
-	onEnd func(w *worker, r *run, how string)
+	late func(w *worker, o workerCall) bool
 }
 
 type gang struct {
@@ -321,12 +320,8 @@
 
 // work lets a run work until its end; the caller holds the lock.
 func (r *run) work() {
-	d, how := r.def.Run, "done"
-	if r.def.Fails {
-		d, how = r.def.Run/10, "failed"
-	}
 	r.working = time.Now()
-	r.timer = time.AfterFunc(d, func() {
+	r.timer = time.AfterFunc(r.def.Run, func() {
 		x := r.at.world
 		x.mu.Lock()
 		defer x.mu.Unlock()
@@ -334,12 +329,12 @@
 			return
 		}
 		if r.gang == nil {
-			r.at.end(r, how)
+			r.at.end(r, "done")
 			return
 		}
 		for _, m := range r.gang.members { // they end together
 			if !m.ended() {
-				m.at.end(m, how)
+				m.at.end(m, "done")
 			}
 		}
 	})
