review: case 4 watches three tasks and counts runs on different workers

Cause: with one task its second run came to the same worker in some runs, where a sound worker might refuse the lower run. Change: three tasks, of which two at least go to other workers; the stand-in refuses a lower run beside a higher one.

--- a/review/rig/reborn.go
+++ b/review/rig/reborn.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -12,13 +13,13 @@
 	// downFor is how long the worker is down: half of the period of 1.4 s in which workers go down
 	// and up by turns.
 	downFor = 700 * time.Millisecond
-	// longTask is the work of the task that is watched.
+	// longTask is the work of each task that is watched.
 	longTask = 10 * time.Second
 )
 
-// playReborn runs a long task beside small jobs. With the disruption, the first order to start it is
-// left unanswered and carried out late, and its worker goes down and starts again under its ID
-// meanwhile.
+// playReborn runs three long tasks beside small jobs. With the disruption, the first orders to start
+// them are left unanswered and carried out late, and their worker goes down and starts again under its
+// ID meanwhile.
 func playReborn(s *site, trouble bool) (breaks []string, err error) {
 	for _, z := range zones {
 		for k := range 3 {
@@ -29,23 +30,32 @@
 	}
 	s.configure(3, route{"/check/", 0}, route{"/solve/", 1})
 	id := jobID(0x100, 1)
-	running, chosen := map[string]int{}, make(chan *worker, 1)
+	running, chosen := map[string][]*run{}, make(chan *worker, 1)
 	s.world.onStart = func(w *worker, r *run) {
-		if running[r.task]++; running[r.task] > 1 {
-			breaks = append(breaks, fmt.Sprintf("TWICE: run %d of %s began on %s while another run of it was at work", r.num, r.task, w.id))
+		for _, o := range running[r.task] {
+			if o.at != w {
+				breaks = append(breaks, fmt.Sprintf("TWICE: run %d of %s began on %s while run %d was at work on %s", r.num, r.task, w.id, o.num, o.at.id))
+			}
 		}
+		running[r.task] = append(running[r.task], r)
+	}
+	s.world.onEnd = func(_ *worker, r *run, _ string) {
+		running[r.task] = slices.DeleteFunc(running[r.task], func(o *run) bool { return o == r })
 	}
-	s.world.onEnd = func(_ *worker, r *run, _ string) { running[r.task]-- }
-	first := true
+	var first *worker // the one that gets the first task of the job
+	seen := map[string]bool{}
 	s.world.late = func(w *worker, o workerCall) bool {
 		s.world.mu.Lock()
 		defer s.world.mu.Unlock()
-		if job, _, _ := splitTask(o.Task); job != id || !first {
+		if job, _, _ := splitTask(o.Task); job != id || seen[o.Task] {
 			return false
 		}
-		first = false
-		chosen <- w
-		return trouble
+		seen[o.Task] = true
+		if first == nil {
+			first = w
+			chosen <- w
+		}
+		return trouble && w == first
 	}
 	if err := s.run(); err != nil {
 		return nil, err
@@ -61,7 +71,7 @@
 	}
 	time.Sleep(2 * time.Second)
 	wg.Go(func() {
-		s.submit(s.vms[0].caller, "/solve/", id, []taskDef{{Count: 1, CPU: 2000, Run: longTask}}, 25*time.Second)
+		s.submit(s.vms[0].caller, "/solve/", id, []taskDef{{Count: 3, CPU: 2000, Run: longTask}}, 25*time.Second)
 	})
 	w := <-chosen
 	if trouble {
--- a/review/rig/worker.go
+++ b/review/rig/worker.go
@@ -246,7 +246,7 @@
 	if w.runs[key] != nil {
 		return http.StatusOK, map[string]any{"clock_ms": w.clock()}
 	}
-	if o.Run <= w.past[o.Task] {
+	if o.Run <= w.past[o.Task] || w.runsHigher(key) {
 		x.rec.add("%s refuses start of %s run %d: old", w.id, o.Task, o.Run)
 		return w.refuse("old")
 	}
@@ -267,6 +267,16 @@
 	return http.StatusOK, map[string]any{"clock_ms": w.clock()}
 }
 
+// runsHigher reports whether a higher run of the task is here.
+func (w *worker) runsHigher(key runKey) bool {
+	for k := range w.runs {
+		if k.task == key.task && k.num > key.num {
+			return true
+		}
+	}
+	return false
+}
+
 // splitTask returns the job and the step of a task's name, ID.K.STEP.INDEX.
 func splitTask(task string) (job string, step int, ok bool) {
 	p := strings.Split(task, ".")
