--- a/review/rig/freeze.go
+++ b/review/rig/freeze.go
@@ -13,6 +13,8 @@
 	// the next client sends its POST.
 	cancelAfter = 80 * time.Millisecond
 	nextAfter   = 120 * time.Millisecond
+	// frozenFor is how long the daemon stands still; the site's largest dose is 4 s.
+	frozenFor = 3800 * time.Millisecond
 )
 
 // playFreeze hands in jobs and cancels each a moment later. With the disruption the daemon stands still
@@ -45,9 +47,20 @@
 		}
 		steps = append(steps, d)
 	}
+	wake := func() {}
 	if trouble {
 		v.signal(syscall.SIGSTOP)
 		s.rec.add("%s: SIGSTOP", v.name)
+		woken := make(chan struct{})
+		time.AfterFunc(frozenFor, func() {
+			s.world.mu.Lock()
+			limit = time.Now().Add(contact)
+			s.world.mu.Unlock()
+			v.signal(syscall.SIGCONT)
+			s.rec.add("%s: SIGCONT", v.name)
+			close(woken)
+		})
+		wake = func() { <-woken }
 	}
 	var wg sync.WaitGroup
 	for n := range 30 {
@@ -65,14 +78,7 @@
 		})
 		time.Sleep(nextAfter)
 	}
-	time.Sleep(200 * time.Millisecond)
-	if trouble {
-		s.world.mu.Lock()
-		limit = time.Now().Add(contact)
-		s.world.mu.Unlock()
-		v.signal(syscall.SIGCONT)
-		s.rec.add("%s: SIGCONT", v.name)
-	}
+	wake()
 	wg.Wait()
 	s.world.mu.Lock()
 	defer s.world.mu.Unlock()
--- a/review/rig/site.go
+++ b/review/rig/site.go
@@ -84,35 +84,57 @@
 	srv := &fasthttp.Server{Handler: s.store.Handle, CloseOnShutdown: true}
 	go func() { _ = srv.Serve(l) }()
 	s.stops = append(s.stops, func() { _ = l.Close() })
-	ports, err := freePorts(4)
+	for i, z := range zones {
+		for k := range 2 {
+			s.vms = append(s.vms, &vm{name: fmt.Sprintf("vm-%s-%d", z, k+1), zone: z, ip: fmt.Sprintf("127.%d.%d.%d", s.net, i+1, k+1)})
+		}
+	}
+	ports, err := s.freePorts(4)
 	if err != nil {
 		return nil, err
 	}
-	for i, z := range zones {
-		for k := range 2 {
-			v := &vm{name: fmt.Sprintf("vm-%s-%d", z, k+1), zone: z, ip: fmt.Sprintf("127.%d.%d.%d", s.net, i+1, k+1)}
-			if err := s.write(v, ports, l.Addr().String()); err != nil {
-				return nil, err
-			}
-			s.vms = append(s.vms, v)
+	for _, v := range s.vms {
+		if err := s.write(v, ports, l.Addr().String()); err != nil {
+			return nil, err
 		}
 	}
 	return s, nil
 }
 
-// freePorts returns ports that are free on all loopback addresses that the machines use.
-func freePorts(n int) (ports []int, err error) {
-	for range n {
-		l, err := net.Listen("tcp", "0.0.0.0:0")
+// portTries is how many ports are tried for each that is needed.
+const portTries = 50
+
+// freePorts returns ports that are free on the addresses of all machines.
+func (s *site) freePorts(n int) (ports []int, err error) {
+	for try := 0; len(ports) < n; try++ {
+		if try == n*portTries {
+			return nil, errors.New("no ports are free on all machines' addresses")
+		}
+		l, err := net.Listen("tcp", s.vms[0].ip+":0")
 		if err != nil {
 			return nil, fmt.Errorf("find a free port: %w", err)
 		}
-		ports = append(ports, l.Addr().(*net.TCPAddr).Port)
 		defer l.Close() //nolint:errcheck // it only held the port
+		port := l.Addr().(*net.TCPAddr).Port
+		if s.isFree(port) {
+			ports = append(ports, port)
+		}
 	}
 	return ports, nil
 }
 
+// isFree reports whether a port is free on the addresses of all machines but the first.
+func (s *site) isFree(port int) bool {
+	for _, v := range s.vms[1:] {
+		l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", v.ip, port))
+		if err != nil {
+			return false
+		}
+		_ = l.Close()
+	}
+	return true
+}
+
 // write writes the settings of a machine, as the deploy file's template gives them at a small site.
 func (s *site) write(v *vm, ports []int, store string) error {
 	at := func(i int) string { return fmt.Sprintf("%s:%d", v.ip, ports[i]) }
