review: case 9, a lease outlasts its reckoning after an unseen restart

Cause: until_ms of a start is reckoned by the clock of an endpoint's former process. A new process under the same ID, idle so far, grants hold_max_ms, the owner counts on 0.75 s; if the endpoint is cut off before its first report, the task starts elsewhere too soon.

--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -11,8 +11,9 @@
 
 // cases are the cases by name. Each returns what broke its rule.
 var cases = map[string]func(g *rig) (broken []string, err error){
-	"late":  playLate,
-	"leave": playLeave,
+	"late":   playLate,
+	"unseen": playUnseen,
+	"leave":  playLeave,
 }
 
 // Exit codes.
--- a/review/stand3/rig.go
+++ b/review/stand3/rig.go
@@ -67,7 +67,8 @@
 	ledger  *ledger
 	vms     []*vm
 	workers []*fakes.Leased
-	late    *lateOrders // nil if no order is carried out late
+	gates   map[string]*gate // by endpoint
+	late    *lateOrders      // nil if no order is carried out late
 	done    chan struct{}
 
 	mu     sync.Mutex
@@ -83,7 +84,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("record: %w", err)
 	}
-	g := &rig{dir: dir, tmp: tmp, trouble: trouble, began: time.Now(), store: stand.NewStore(), done: make(chan struct{}), record: record}
+	g := &rig{dir: dir, tmp: tmp, trouble: trouble, began: time.Now(), store: stand.NewStore(), gates: map[string]*gate{}, done: make(chan struct{}), record: record}
 	g.ledger = newLedger(g)
 	return g, nil
 }
@@ -95,15 +96,16 @@
 	_, _ = fmt.Fprintf(g.record, "%8.3f %s\n", time.Since(g.began).Seconds(), fmt.Sprintf(format, args...)) // a test's record
 }
 
-// serve serves a handler at an address of its own.
-func (g *rig) serve(ip netip.Addr, h fasthttp.RequestHandler) (netip.AddrPort, error) {
+// serve serves a handler at an address of its own, behind a gate.
+func (g *rig) serve(ip netip.Addr, h fasthttp.RequestHandler) (netip.AddrPort, *gate, error) {
 	l, err := net.Listen("tcp", netip.AddrPortFrom(ip, 0).String())
 	if err != nil {
-		return netip.AddrPort{}, fmt.Errorf("listen: %w", err)
+		return netip.AddrPort{}, nil, fmt.Errorf("listen: %w", err)
 	}
+	door := newGate(l)
 	s := &fasthttp.Server{Handler: h, CloseOnShutdown: true, Logger: silent{}}
-	go func() { _ = s.Serve(l) }() // it ends with the process
-	return l.Addr().(*net.TCPAddr).AddrPort(), nil
+	go func() { _ = s.Serve(door) }() // it ends with the process
+	return l.Addr().(*net.TCPAddr).AddrPort(), door, nil
 }
 
 // silent drops log lines of broken connections.
@@ -127,7 +129,7 @@
 
 // build starts the stand-ins and the daemons, and waits until all are ready.
 func (g *rig) build(l layout) error {
-	storeAt, err := g.serve(ip(storeBlock, 0, 0), g.store.Handle)
+	storeAt, _, err := g.serve(ip(storeBlock, 0, 0), g.store.Handle)
 	if err != nil {
 		return err
 	}
@@ -157,11 +159,12 @@
 		Size: job.Size{Cores: 64, Memory: 128},
 	}
 	e := fakes.NewLeased(in, lease.Limits{Hold: holdMax, Stop: stopTime}, g.ledger, time.Duration(n)*time.Second, uint64(100*z+n))
-	at, err := g.serve(ip(workerBlock, z, n), g.handle(e))
+	at, door, err := g.serve(ip(workerBlock, z, n), g.handle(e))
 	if err != nil {
 		return err
 	}
 	e.Addr = at
+	g.gates[in.ID] = door
 	g.workers = append(g.workers, e)
 	g.store.Put(stand.Workers, in.ID, stand.Entry(e.CurrentInfo()))
 	return nil
