review: case 11, jobs that wait are cut without an answer when their daemon leaves

Cause: when the drain of a leaving VM times out, the calls that are left are answered by nobody; jobs that wait at owners and have not begun are cut like those at work.

--- a/review/stand3/client.go
+++ b/review/stand3/client.go
@@ -81,26 +81,24 @@
 	return fmt.Sprintf("%d after %s %s", a.status, a.waited().Round(time.Millisecond), strings.TrimSpace(a.body))
 }
 
-// ask sends a request and waits for its response.
-func (c *channel) ask(method, path string, body []byte, deadline time.Duration) (a answer) {
-	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nDahliawinch-Deadline-Ms: %d\r\n", method, path, host, deadline.Milliseconds())
-	if body != nil {
-		head += fmt.Sprintf("Content-Type: application/json\r\nContent-Length: %d\r\n", len(body))
-	}
-	c.g.note("send %s %s to %s deadline %s", method, path, c.v.name, deadline)
-	_, a.err = c.c.Write(append([]byte(head+"\r\n"), body...))
+// post hands in a job and waits for the response.
+func (c *channel) post(path string, body []byte, deadline time.Duration) (a answer) {
+	head := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\nDahliawinch-Deadline-Ms: %d\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n",
+		path, host, deadline.Milliseconds(), len(body))
+	c.g.note("send POST %s to %s deadline %s", path, c.v.name, deadline)
+	_, a.err = c.c.Write(append([]byte(head), body...))
 	a.sent = time.Now()
 	if a.err == nil {
 		_ = c.c.SetReadDeadline(a.sent.Add(deadline + 2*time.Second)) // a socket takes deadlines
-		a.status, a.body, a.err = c.read(method)
+		a.status, a.body, a.err = c.read()
 	}
 	a.at = time.Now()
-	c.g.note("answer to %s %s from %s: %s", method, path, c.v.name, a)
+	c.g.note("answer to POST %s from %s: %s", path, c.v.name, a)
 	return a
 }
 
-func (c *channel) read(method string) (status int, body string, err error) {
-	resp, err := http.ReadResponse(c.in, &http.Request{Method: method})
+func (c *channel) read() (status int, body string, err error) {
+	resp, err := http.ReadResponse(c.in, &http.Request{Method: http.MethodPost})
 	if err != nil {
 		return 0, "", fmt.Errorf("read answer: %w", err)
 	}
@@ -114,12 +112,12 @@
 
 func (c *channel) close() { _ = c.c.Close() }
 
-// once sends one request on a channel of its own.
-func (g *rig) once(v *vm, method, path string, body []byte, deadline time.Duration) answer {
+// post hands in a job on a channel of its own.
+func (g *rig) post(v *vm, path string, body []byte, deadline time.Duration) answer {
 	c, err := g.dial(v)
 	if err != nil {
 		return answer{err: err, sent: time.Now(), at: time.Now()}
 	}
 	defer c.close()
-	return c.ask(method, path, body, deadline)
+	return c.post(path, body, deadline)
 }
--- a/review/stand3/late.go
+++ b/review/stand3/late.go
@@ -113,7 +113,7 @@
 	time.Sleep(2 * time.Second)
 	handed := make(chan answer, 1)
 	began := time.Now()
-	go func() { handed <- g.once(g.vms[0], http.MethodPost, prefix+s.id, s.body, watchedDeadline) }()
+	go func() { handed <- g.post(g.vms[0], prefix+s.id, s.body, watchedDeadline) }()
 	time.Sleep(time.Until(began.Add(restartAfter)))
 	for i, o := range late.all() {
 		wg.Go(func() {
@@ -144,7 +144,7 @@
 		}
 		wg.Go(func() {
 			s := g.newJob(step{Count: 4, CPU: 2000, Mem: 64, Estimate: 200, Requires: fmt.Sprintf("r%d-1", i%small.zones)})
-			g.once(g.vms[i%len(g.vms)], http.MethodPost, prefix+s.id, s.body, callDeadline)
+			g.post(g.vms[i%len(g.vms)], prefix+s.id, s.body, callDeadline)
 		})
 	}
 }
--- a/review/stand3/leave.go
+++ b/review/stand3/leave.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"net/http"
 	"syscall"
 	"time"
 )
@@ -56,7 +55,7 @@
 		go func() {
 			time.Sleep(time.Until(signaled.Add(firstSend + time.Duration(k)*sendGap)))
 			s := g.newJob(step{Count: 4, CPU: 27000, Mem: 64, Estimate: 900})
-			all <- sent{s.id, c.ask(http.MethodPost, prefix+s.id, s.body, callDeadline)}
+			all <- sent{s.id, c.post(prefix+s.id, s.body, callDeadline)}
 		}()
 	}
 	judged := 0
--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -12,6 +12,7 @@
 // cases are the cases by name. Each returns what broke its rule.
 var cases = map[string]func(g *rig) (broken []string, err error){
 	"late":   playLate,
+	"wait":   playWait,
 	"unseen": playUnseen,
 	"leave":  playLeave,
 }
--- a/review/stand3/unseen.go
+++ b/review/stand3/unseen.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"net"
-	"net/http"
 	"os"
 	"slices"
 	"strings"
@@ -143,7 +142,7 @@
 	time.Sleep(handInAfter)
 	s := g.newJob(step{Count: watched, CPU: 60000, Mem: 64, Estimate: 6000, Requires: watchedRack})
 	handed := make(chan answer, 1)
-	go func() { handed <- g.once(g.vms[0], http.MethodPost, prefix+s.id, s.body, watchedDeadline) }()
+	go func() { handed <- g.post(g.vms[0], prefix+s.id, s.body, watchedDeadline) }()
 	cut := 0
 	if g.trouble {
 		cut = g.cutWhereStarted(s.id)
