--- a/review/stand3/wait.go
+++ b/review/stand3/wait.go
@@ -7,13 +7,17 @@
 )
 
 const (
-	// fillers is how many jobs of 4 tasks take all endpoints, two tasks on each.
-	fillers = 24
-	// waves of them come, fillGap apart: the second one waits for the first.
+	// wantedRack is the rack that all jobs require, with 6 endpoints for two tasks each.
+	wantedRack = "r0-0"
+	// fillers is how many jobs of 4 tasks take all of it.
+	fillers = 3
+	// waves of them come, fillGap apart: the second one waits for the first. With all jobs, the work that comes in these
+	// 1.2 s is what comes in as long a time by the site's sheet, 2,130 core-seconds a second.
 	waves   = 2
-	fillGap = 400 * time.Millisecond
-	// waiting is how many jobs are handed in at the daemon that leaves after that, and patience how long clients wait.
-	waiting  = 16
+	fillGap = 500 * time.Millisecond
+	// waiting is how many jobs of one task are handed in at the daemon that leaves after that, and patience how long
+	// clients wait.
+	waiting  = 4
 	patience = 29 * time.Second
 	// signalAfter is the time from these jobs to the signal.
 	signalAfter = 200 * time.Millisecond
@@ -21,22 +25,22 @@
 	lossSlack = 200 * time.Millisecond
 )
 
-// playWait fills all endpoints and lets jobs at one daemon wait for room, some seconds of the many that their clients have.
+// playWait fills a rack twice over and lets jobs at one daemon wait for room, some seconds of the many that their clients have.
 // With trouble, that daemon gets SIGTERM meanwhile.
 func playWait(g *rig) (broken []string, err error) {
-	time.Sleep(2 * time.Second) // the deployment has just started
-	leaving := g.vms[0]
+	time.Sleep(2 * time.Second)    // the deployment has just started
+	leaving := g.vms[len(g.vms)-1] // of another zone than the rack, so it owns none of its endpoints
 	for range waves {
 		for i := range fillers {
-			s := g.newJob(step{Count: 4, CPU: 27000, Mem: 64, Estimate: 3400})
-			go g.post(g.vms[1+i%(len(g.vms)-1)], prefix+s.id, s.body, patience)
+			s := g.newJob(step{Count: 4, CPU: 27000, Mem: 64, Estimate: 3400, Requires: wantedRack})
+			go g.post(g.vms[i%(len(g.vms)-1)], prefix+s.id, s.body, patience)
 		}
 		time.Sleep(fillGap)
 	}
 	all := make(chan sent, waiting)
 	for range waiting {
 		go func() {
-			s := g.newJob(step{Count: 2, CPU: 27000, Mem: 64, Estimate: 3400})
+			s := g.newJob(step{Count: 1, CPU: 27000, Mem: 64, Estimate: 3400, Requires: wantedRack})
 			all <- sent{s.id, g.post(leaving, prefix+s.id, s.body, patience)}
 		}()
 	}
